Count silent time-outs at many servers as overload, not as hung servers

The servers that are left are sent more than they can do, turn slow and stay so.

Cause: Balancer::observe takes a time-out with no other word of its server since for a server that hangs and leaves it out of the load signs while at most FEW_OUT of the fleet is ejected. A node of a hundred sends each of 60 servers one request in four seconds, so no server ever has another word: every time-out looks like that, and the limit never learns of the jam.

Chosen: such time-outs are set aside only while at most FEW_OUT of the latest answers and time-outs are a server's first silent one (Mood::silent); a server that goes on hanging counts once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -177,6 +177,8 @@
     out_since: Micros,
     /// A trial or probe is out.
     trial: bool,
+    /// An attempt timed out without a word of it, and none came since.
+    hung: bool,
     /// While it is cold: attempts that this node may send it.
     budget: f64,
     /// Part of its latest answers that turned a request away, and the part of its cores that it last
@@ -297,6 +299,8 @@
 struct Mood {
     /// Part of the latest answers that came late or not at all.
     late: f64,
+    /// Part of the latest answers and time-outs that were a server's first silent time-out.
+    silent: f64,
     /// Part of the latest answered or failed attempts that failed.
     failing: f64,
     /// Part of the latest attempts that got no connection.
@@ -851,9 +855,14 @@
         let answered = closed.outcome == Outcome::Ok;
         let mut late = false;
         // An attempt that timed out was at least as slow as that. Where no word of its server came after
-        // it and few servers are out, that one hangs: no sign of more work than the others can do.
+        // it and few servers are out, that one hangs: no sign of more work than the others can do. In a
+        // large group no server sends word that often: where one after the other hangs, all have too much.
         let silent = server.quiet_since + closed.spent <= self.now;
-        let hung = timed_out && silent && self.mood.ejected <= FEW_OUT;
+        let hung = timed_out && silent && self.mood.ejected.max(self.mood.silent) <= FEW_OUT;
+        if answered || (timed_out && !server.hung) {
+            self.mood.silent += 0.03 * (f64::from(u8::from(timed_out && silent)) - self.mood.silent);
+        }
+        server.hung = (server.hung && !answer) || (timed_out && silent);
         if answered || (timed_out && !lost) {
             late = !hung && (timed_out || closed.spent > self.settings.classes[class].aim);
             let sign = if hung { self.mood.late } else { f64::from(u8::from(late)) };
@@ -1092,6 +1101,7 @@
             ejected: None,
             out_since: 0,
             trial: false,
+            hung: false,
             budget,
             turned: 0.0,
             util: None,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -248,6 +248,27 @@
     assert!(sent_on(false, 4) < 100);
 }
 
+// Guards against a jam that no node sees: in a large group a node sends a server so little that each of
+// its time-outs looks like a server that hangs, while all servers together have more than they can do.
+#[test]
+fn silence_of_one_server_after_the_other_holds_down_what_is_in_flight() {
+    let sent_on = |hung: u64| {
+        let mut node = Node::new(Settings { group_size: 100, ..settings() }, (0..60).map(member).collect());
+        for n in 0..120 {
+            let asked = node.now;
+            let Some(server) = sent(&node.ask(n, UNSAFE, n)) else { continue };
+            node.now += 500_000;
+            match u64::from(server.0) < hung {
+                true => drop(node.close_after(n, 0, server, Outcome::Timeout, node.now - asked)),
+                false => drop(node.close(n, 0, server, Outcome::Ok)),
+            }
+        }
+        (1000..1100).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count()
+    };
+    assert_eq!(sent_on(2), 100);
+    assert!(sent_on(50) < 30, "{}", sent_on(50));
+}
+
 // Guards against refusing long after the trouble: the limit comes back by itself.
 #[test]
 fn the_limit_recovers() {
