Pace cold servers by the most the fleet has served, not by what a jam lets through

In a jam that is little, so the servers that could end the jam are sent little, and the jam feeds on itself.

Chosen: the highest such rate seen counts (Mood::serves), taken once the fading counts hold 3 s. What was served lies below what the fleet can do, so the rule on cold servers keeps its margin.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,6 +93,8 @@
 /// A cold server may be sent this part of what topples it, by what the fleet serves for its size
 /// and warmth. It remembers no key yet, so it does less than that.
 const COLD_CARE: f64 = 0.45;
+/// Seconds after which the counts of traffic hold enough to go by their highest.
+const SETTLED: f64 = 3.0;
 /// A group up to this size always keeps its idle connections, and any group closes them while more
 /// than this part of the attempts get no connection: servers accept a limited number.
 const LINK_KEEPERS: u32 = 24;
@@ -315,6 +317,8 @@
     panic: bool,
     /// Sizes of the servers in use, by their warmth.
     able: f64,
+    /// The most that a size of one has been seen to serve in a second.
+    serves: f64,
     /// Requests taken, attempts sent and attempts served: fading counts.
     taken: f64,
     sends: f64,
@@ -974,10 +978,11 @@
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
         let silence = ((SILENCE * slowest) as Micros).max(SILENCE_LEAST);
         let (mut ejected, mut total, mut able) = (0.0, 0.0, 0.0);
-        let pace = COLD_CARE * self.settings.fall_multiple * self.mood.served
-            / self.window
-            / self.mood.able.max(1.0)
-            / 10.0;
+        let serves = self.mood.served / self.window / self.mood.able.max(1.0);
+        if self.window > SETTLED {
+            self.mood.serves = self.mood.serves.max(serves);
+        }
+        let pace = COLD_CARE * self.settings.fall_multiple * self.mood.serves.max(serves) / 10.0;
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             if !server.ready {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -324,6 +324,34 @@
     assert!(cold < 2_000 / 4, "{counts:?}");
 }
 
+// Guards against a recovery that feeds on itself: servers that come back cold while the rest is jammed were
+// sent by what the jam lets through, so the jammed ones kept nearly all of it.
+#[test]
+fn a_cold_server_is_paced_by_what_the_fleet_served_at_its_best() {
+    let to_the_cold_one = |slump: Micros| {
+        let mut node = Node::fleet(10);
+        for second in 0..8 {
+            answer(&mut node, second * 1_000, 100, Outcome::Ok, 20_000);
+            node.pass(SECOND);
+        }
+        node.pass(slump);
+        node.sync(SyncKind::Delta, vec![Member { since: node.now, ..member(10) }]);
+        let mut cold = 0;
+        for n in 100_000..100_300 {
+            let server = node.place(n, SAFE, n);
+            cold += u32::from(server == ServerId(10));
+            node.close(n, 0, server, Outcome::Ok);
+            if n % 10 == 9 {
+                node.pass(100_000);
+            }
+        }
+        cold
+    };
+    let (busy, slump) = (to_the_cold_one(0), to_the_cold_one(30 * SECOND));
+    assert!(slump + 1 >= busy, "{slump} after a slump, {busy} without one");
+    assert!(busy >= 4, "{busy}");
+}
+
 fn in_order() -> Settings {
     let mut settings = Settings { settle_after_doubt: 200_000, ..settings() };
     settings.classes[UNSAFE].in_order = true;
