Spread the first sends of a key in a large group until a node has counted some traffic

A node of a hundred meets even the hottest key once in a second: harmless for one node, a hundred first sends to one owner for all.

Chosen: in a group above LARGE_GROUP, and only until HOT_LEAST requests are counted, a key's share is taken as what it would be with HOT_LEAST more requests of other keys, so it has some eight owners of sixty. Memories at servers are mostly cold then anyway. Later estimates are as before.

Ruled out: keeping each node to one of a hot key's owners (weighted rendezvous by the node's number), to need fewer connections.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -95,9 +95,10 @@
 const COLD_CARE: f64 = 0.45;
 /// Seconds after which the counts of traffic hold enough to go by their highest.
 const SETTLED: f64 = 3.0;
-/// A group up to this size always keeps its idle connections, and any group closes them while more
-/// than this part of the attempts get no connection: servers accept a limited number.
-const LINK_KEEPERS: u32 = 24;
+/// In a group above this size a node alone sees little of what all do together.
+/// A group up to it always keeps its idle connections, and any group closes them while more than this
+/// part of the attempts get no connection: servers accept a limited number.
+const LARGE_GROUP: u32 = 24;
 const LINKS_SHORT: f64 = 0.02;
 
 /// When a refused client ought to come back. Longer eases an overload and costs those who would have
@@ -587,12 +588,18 @@
         }
     }
 
-    /// A key's part of all traffic. Half a request less, so that one met once is not hot; with few
+    /// A key's part of all traffic. Near a large group's start each key counts as hot until traffic tells:
+    /// all nodes' first sends of a hot key would go to one owner, and crowd it before any of them learns.
+    /// Half a request less, so that one met once is not hot; with few
     /// requests counted a second one is enough, as spreading costs nothing while memories are cold.
     fn key_share(&self, key: Option<Key>) -> f64 {
         let hot = key.and_then(|key| self.hot.iter().find(|h| h.key == key));
         let count = hot.map_or(0.0, |h| h.count - h.error);
-        (count - count.sqrt()).max(0.0) / self.mood.taken.max(HOT_LEAST)
+        let met = (count - count.sqrt()).max(0.0) / self.mood.taken.max(HOT_LEAST);
+        match self.settings.group_size > LARGE_GROUP && self.mood.taken < HOT_LEAST {
+            true => met.max(count / (self.mood.taken + HOT_LEAST)),
+            false => met,
+        }
     }
 
     // Requests.
@@ -888,7 +895,7 @@
         }
         // Every node comes to hold a connection to each server. Kept where a new one costs more.
         let held = f64::from(self.settings.group_size) / 100.0 * self.settings.connection_price;
-        let many = self.settings.group_size > LINK_KEEPERS && held >= self.settings.handshake_price;
+        let many = self.settings.group_size > LARGE_GROUP && held >= self.settings.handshake_price;
         let unlinked = f64::from(u8::from(closed.outcome == Outcome::ConnectFailed));
         self.mood.unlinked += 0.03 * (unlinked - self.mood.unlinked);
         if server.inflight == 0 && (many || self.mood.unlinked > LINKS_SHORT) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -165,6 +165,29 @@
     assert!(seen.len() >= 4, "{seen:?}");
 }
 
+// Guards against a hundred first sends to one owner: before a node of a large group can tell which keys are
+// hot, it spreads those it meets; later on a rare key has one owner again.
+#[test]
+fn first_sends_of_a_large_group_are_spread() {
+    let first = |seed: u64, group_size: u32, met: u64| {
+        let mut node = Node::new(Settings { group_size, ..settings() }, vec![]);
+        node.balancer = Balancer::new(Settings { group_size, ..settings() }, seed);
+        node.sync(SyncKind::Full, (0..60).map(member).collect());
+        for n in 0..met {
+            let server = node.place(n, SAFE, 1_000 + n);
+            node.close(n, 0, server, Outcome::Ok);
+        }
+        node.place(9_999, SAFE, 7)
+    };
+    let owners = |group_size: u32, met: u64| {
+        let owners: std::collections::BTreeSet<_> =
+            (0..100).map(|seed| first(seed, group_size, met)).collect();
+        owners.len()
+    };
+    assert!(owners(100, 0) >= 5, "{}", owners(100, 0));
+    assert_eq!((owners(100, 40), owners(3, 0)), (1, 1));
+}
+
 #[test]
 fn bad_uses_are_ignored() {
     let mut node = Node::fleet(2);
