Refuse in a large group what servers gone or cold by the list cannot carry

Cause: the only brake, Mood::limit, falls by answers that come late, and a node of a hundred has seen enough of those when the servers are jammed already.

In a group above LARGE_GROUP, while servers on the list are gone or cold, a node takes on its part of the tenants' quotas times the part of the sizes that is left; what went within the last ramp time counts twice, as moved keys meet no memory. It refuses by slot, so all nodes refuse the same keys, and at once, with Retry-After as before. A fleet that stays small is held to its part of the quotas and no more.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -318,6 +318,11 @@
     panic: bool,
     /// Sizes of the servers in use, by their warmth.
     able: f64,
+    /// Sizes of the servers on the list by what they may carry while cold, and the most that they came to.
+    told: f64,
+    full: f64,
+    /// The same as they lately were: what has moved since then meets no memory of its keys.
+    lately: f64,
     /// The most that a size of one has been seen to serve in a second.
     serves: f64,
     /// Requests taken, attempts sent and attempts served: fading counts.
@@ -638,7 +643,7 @@
         if let Some(key) = ordered {
             self.turns.entry(key).or_default().queue.push_back(id);
         }
-        if self.shed_now(request.class.0, slot, over) {
+        if self.beyond_capacity(slot) || self.shed_now(request.class.0, slot, over) {
             self.conclude(id, out);
         } else {
             self.send_or_conclude(id, out);
@@ -984,7 +989,7 @@
         self.shed_held(out);
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
         let silence = ((SILENCE * slowest) as Micros).max(SILENCE_LEAST);
-        let (mut ejected, mut total, mut able) = (0.0, 0.0, 0.0);
+        let (mut ejected, mut total, mut able, mut told) = (0.0, 0.0, 0.0, 0.0);
         let serves = self.mood.served / self.window / self.mood.able.max(1.0);
         if self.window > SETTLED {
             self.mood.serves = self.mood.serves.max(serves);
@@ -998,6 +1003,7 @@
             let (size, warmth) = (server.member.size, self.warmth(server));
             let gain = pace * size * warmth;
             total += size;
+            told += size * (warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0)).min(1.0);
             able += size * warmth * f64::from(u8::from(server.ejected.is_none()));
             let quiet = server.inflight > 0 && self.now > server.quiet_since + silence;
             if quiet && server.ejected.is_none() {
@@ -1028,6 +1034,10 @@
             }
         }
         self.mood.able = able;
+        let back = (SWEEP as f64 / self.settings.ramp_time.max(SWEEP) as f64).min(1.0);
+        let lately = self.mood.lately + back * (told - self.mood.lately);
+        (self.mood.told, self.mood.full) = (told, self.mood.full.max(told));
+        self.mood.lately = lately.max(told);
         self.mood.limit *= LIMIT_REGAIN;
         self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
         self.mood.ejected = ejected / total.max(f64::MIN_POSITIVE);
@@ -1075,6 +1085,21 @@
         value * if over { self.settings.over_share_worth } else { 1.0 }
     }
 
+    /// Whether a request of this slot lies beyond what a large group's servers can do by the list, where some
+    /// of them are gone or cold. The quotas tell what all of them are there for. A node's own signs of a jam
+    /// come when the servers are in it, and a jam outlasts its cause. Keys that move meet servers without
+    /// memory, which do more for them: what has lately gone counts twice. Refuses too much where the quotas
+    /// lie far below what the servers can do.
+    fn beyond_capacity(&self, slot: usize) -> bool {
+        let quota: f64 = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s).sum();
+        let carried = quota / f64::from(self.settings.group_size)
+            * (self.mood.told / self.mood.full.max(1.0))
+            * (self.mood.told / self.mood.lately.max(1.0));
+        let rate = self.mood.taken / self.window;
+        let short = self.settings.group_size > LARGE_GROUP && self.mood.told < self.mood.full;
+        short && carried > 0.0 && rate > carried && slot_level(slot) > carried / rate
+    }
+
     /// Whether to refuse a new request: beyond the limit, by worth and by key.
     fn shed_now(&mut self, class: usize, slot: usize, over: bool) -> bool {
         let value = self.value(class, over);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -375,6 +375,43 @@
     assert!(busy >= 4, "{busy}");
 }
 
+// Guards against jams that outlast their cause: a large group refuses, by the same keys at every node, what
+// the quotas exceed the servers that the list leaves it, as soon as the list says so.
+#[test]
+fn a_large_group_takes_on_what_the_listed_servers_can_do() {
+    let refused_part = |group_size: u32, gone: u32, wait: Micros| {
+        let tenants = vec![Tenant { quota_per_s: 20.0 * f64::from(group_size) }];
+        let settings = Settings { group_size, tenants, ..settings() };
+        let mut node = Node::new(settings, (0..60).map(member).collect());
+        let mut n = 0;
+        let mut second = |node: &mut Node| {
+            let mut refusals = 0;
+            for _ in 0..15 {
+                n += 1;
+                match sent(&node.ask(n, SAFE, n)) {
+                    Some(server) => drop(node.close(n, 0, server, Outcome::Ok)),
+                    None => refusals += 1,
+                }
+                node.pass(SECOND / 15);
+            }
+            refusals
+        };
+        (0..10).for_each(|_| assert_eq!(second(&mut node), 0));
+        node.sync(SyncKind::Full, (gone..60).map(member).collect());
+        node.pass(100_000);
+        for _ in 0..wait / SECOND {
+            second(&mut node);
+        }
+        (0..4).map(|_| second(&mut node)).sum::<u32>()
+    };
+    let lost = refused_part(100, 36, 0);
+    assert!((15..55).contains(&lost), "{lost} of 60");
+    assert_eq!(refused_part(3, 36, 0), 0);
+    assert_eq!(refused_part(100, 2, 0), 0);
+    // A fleet that stays smaller carries its part of the quotas once the keys have settled.
+    assert_eq!(refused_part(100, 12, 30 * SECOND), 0);
+}
+
 fn in_order() -> Settings {
     let mut settings = Settings { settle_after_doubt: 200_000, ..settings() };
     settings.classes[UNSAFE].in_order = true;
