Split the decisions into src/brain/, a file to each of their headings

One file of 1,114 lines had a single impl of nearly 700. Its code now stands in table, list, route, request, turns, retry, health and load, each with the constants and types it owns; nothing but visibility and the place of comments changed.

--- /dev/null
+++ b/src/brain/route.rs
@@ -0,0 +1,155 @@
+//! The walk from a key's slot to the server that gets the request, and the keys that are too hot for one.
+
+use super::*;
+
+/// The most owners that one walk looks at, and the most slots it passes on its way.
+const WALK_OWNERS: usize = 64;
+const WALK_SLOTS: usize = 1_024;
+/// A key may bring an owner this multiple of a server's mean load before it is spread.
+const HOT_LOAD: f64 = 0.35;
+/// Keys counted by a node, and what each sweep keeps of all counts of traffic.
+const HOT_KEYS: usize = 128;
+pub(super) const HOT_KEEP: f64 = 0.984;
+const HOT_LEAST: f64 = 20.0;
+
+/// A server overflows above this multiple of the mean in flight, plus this many.
+const OVERFLOW_MULTIPLE: f64 = 2.0;
+const OVERFLOW_MORE: f64 = 2.0;
+/// A walk that finds no owner falls back on one that carries at least this share.
+const FALLBACK_SHARE: f64 = 0.5;
+/// A cold server may be sent this part of what topples it, by what the fleet serves for its size
+/// and warmth. It remembers no key yet, so it does less than that.
+pub(super) const COLD_CARE: f64 = 0.45;
+
+pub(super) struct Hot {
+    pub(super) key: Key,
+    pub(super) count: f64,
+    /// Part of the count that may belong to the key that was counted here before.
+    pub(super) error: f64,
+}
+
+impl Balancer {
+    /// A part of capacity that a cold server surely has: it grows evenly from its start.
+    pub(super) fn warmth(&self, server: &Server) -> f64 {
+        let ramp = self.settings.ramp_time;
+        let age = self.now.saturating_sub(server.member.since);
+        if server.member.since == 0 || age >= ramp {
+            return 1.0;
+        }
+        let start = self.settings.start_capacity.clamp(0.0, 1.0);
+        start + (1.0 - start) * age as f64 / ramp as f64
+    }
+
+    /// The part of its slots that a server carries now.
+    pub(super) fn share(&self, server: &Server) -> f64 {
+        let warmth = self.warmth(server);
+        let spent = warmth < 1.0 && server.budget < 1.0;
+        let ejected = server.ejected.is_some() && !self.mood.panic;
+        if spent || ejected {
+            0.0
+        } else {
+            server.share.min(warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0))
+        }
+    }
+
+    /// Holds far more of this node's requests than its size explains.
+    fn overfull(&self, server: &Server) -> bool {
+        let mean = f64::from(self.inflight) / self.size_total * server.member.size;
+        let held = f64::from(server.inflight);
+        held > mean + OVERFLOW_MORE && held > OVERFLOW_MULTIPLE * mean
+    }
+
+    /// The walk. From the key's slot on, the first owner that carries the slot it is met on and
+    /// is not overfull; for a key hotter than one owner, one of just as many successive owners
+    /// as carry it. Where none qualifies, the first warm one that may be used at all.
+    pub(super) fn route(&mut self, id: RequestId) -> Option<usize> {
+        self.refresh_table();
+        let pending = &self.requests[&id];
+        let mut need = self.key_share(pending.key);
+        let repeatable = self.settings.classes[pending.class].semantics != Semantics::Unsafe;
+        let mut seen: Vec<u32> = Vec::with_capacity(8);
+        let mut chosen: Vec<(usize, f64)> = Vec::new();
+        let mut fallback = None;
+        let slots = if pending.attempts.is_empty() { WALK_SLOTS } else { TABLE_SLOTS };
+        for step in 0..slots.min(self.table.len()) {
+            let slot = (pending.slot + step) % TABLE_SLOTS;
+            let owner = self.table[slot];
+            if seen.contains(&owner) {
+                continue;
+            }
+            let server = &self.servers[owner as usize];
+            let tried = pending.attempts.iter().any(|a| a.member.server == server.member.server);
+            let sick = server.health.get(pending.class).is_some_and(|health| health.bars(self.now));
+            if tried || sick || !self.in_group(pending, &server.member) {
+                continue;
+            }
+            seen.push(owner);
+            if seen.len() > WALK_OWNERS {
+                break;
+            }
+            let due = server.ejected.is_some_and(|until| self.now >= until && !server.trial);
+            if due && repeatable && !self.settings.may_probe && chosen.is_empty() {
+                return Some(owner as usize);
+            }
+            let share = self.share(server);
+            if slot_level(slot) > share || self.overfull(server) {
+                fallback = fallback.or((share >= FALLBACK_SHARE).then_some(owner as usize));
+                continue;
+            }
+            let carries = share * server.member.size / self.size_total;
+            chosen.push((owner as usize, carries));
+            need -= HOT_LOAD * carries;
+            if need <= 0.0 {
+                break;
+            }
+        }
+        let total: f64 = chosen.iter().map(|c| c.1).sum();
+        let mut at = if chosen.len() > 1 { self.rng.f64() * total } else { 0.0 };
+        let pick = chosen.iter().find(|c| {
+            at -= c.1;
+            at <= 0.0
+        });
+        pick.or(chosen.last()).map(|c| c.0).or(fallback)
+    }
+
+    /// The slot of a request: its key's, or for a keyless one the better of two random ones.
+    pub(super) fn slot_of(&mut self, key: Option<Key>) -> usize {
+        if let Some(Key(key)) = key {
+            let hash = xxh3_64_with_seed(&key.to_le_bytes(), KEY_SEED);
+            return (hash % TABLE_SLOTS as u64) as usize;
+        }
+        let (a, b) = (self.rng.usize(0..TABLE_SLOTS), self.rng.usize(0..TABLE_SLOTS));
+        self.refresh_table();
+        let held = |slot: usize| {
+            let server = self.table.get(slot).map(|&owner| &self.servers[owner as usize]);
+            server.map_or(0.0, |s| f64::from(s.inflight) / s.member.size)
+        };
+        [a, b][usize::from(held(b) < held(a))]
+    }
+
+    // Hot keys: bounded counts of this node's own traffic, which is a sample of the fleet's.
+
+    pub(super) fn count_key(&mut self, key: Key) {
+        if let Some(hot) = self.hot.iter_mut().find(|h| h.key == key) {
+            hot.count += 1.0;
+        } else if self.hot.len() < HOT_KEYS {
+            self.hot.push(Hot { key, count: 1.0, error: 0.0 });
+        } else if let Some(least) = self.hot.iter_mut().min_by(|a, b| a.count.total_cmp(&b.count)) {
+            *least = Hot { key, count: least.count + 1.0, error: least.count };
+        }
+    }
+
+    /// A key's part of all traffic. Near a large group's start each key counts as hot until traffic tells:
+    /// all nodes' first sends of a hot key would go to one owner, and crowd it before any of them learns.
+    /// Half a request less, so that one met once is not hot; with few
+    /// requests counted a second one is enough, as spreading costs nothing while memories are cold.
+    fn key_share(&self, key: Option<Key>) -> f64 {
+        let hot = key.and_then(|key| self.hot.iter().find(|h| h.key == key));
+        let count = hot.map_or(0.0, |h| h.count - h.error);
+        let met = (count - count.sqrt()).max(0.0) / self.mood.taken.max(HOT_LEAST);
+        match self.settings.group_size > LARGE_GROUP && self.mood.taken < HOT_LEAST {
+            true => met.max(count / (self.mood.taken + HOT_LEAST)),
+            false => met,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
-//! Honeystep makes the decisions of an HTTP load balancer that runs as a bank of proxies.
+//! The decisions of fircroft, an HTTP load balancer that runs as a fleet of nodes which share nothing.
 //!
-//! A host feeds [`brain::Balancer`] the events of one proxy and carries out the actions it
+//! A host feeds [`brain::Balancer`] the events of one node and carries out the actions it
 //! answers with. The module does no I/O and reads no clock, so the same events always give the
 //! same actions. The vocabulary is in [`api`], every decision in [`brain`].
 #![forbid(unsafe_code)]
