--- a/src/bin/woodgap-simhost/main.rs
+++ b/src/bin/woodgap-simhost/main.rs
@@ -85,7 +85,7 @@
             "SPAWN" => {
                 let node = self.node()?;
                 let seed = f.number("nonce64")?;
-                let (settings, names) = settings::parse(&Pairs::from_line(f.rest())?)?;
+                let (settings, names) = settings::read(&Pairs::from_line(f.rest())?)?;
                 let balancer = Balancer::new(settings, seed);
                 self.instances.insert(node, Instance { balancer, names });
             }
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -11,12 +11,14 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio_util::time::{delay_queue, DelayQueue};
+use woodgap::config::Config;
+use woodgap::list::List;
 use woodgap::{
     Action, Balancer, ClassId, Closed, Discovery, Event, Key, Micros, Outcome, Request, RequestId, ServerId,
     SyncKind, TenantId, TimerId,
 };
 
-use crate::discovery::{watch, List, News};
+use crate::discovery::{watch, News};
 use crate::exchange::Call;
 use crate::peers::Peers;
 use crate::servers::{Ended, Servers, TIDY};
@@ -145,7 +147,7 @@
 
 impl Driver {
     pub fn new(
-        config: &crate::config::Config,
+        config: &Config,
         servers: Rc<Servers>,
         peers: Option<Rc<Peers>>,
         tx: mpsc::UnboundedSender<Msg>,
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -5,7 +5,6 @@
 #![forbid(unsafe_code)]
 
 mod clients;
-mod config;
 mod conn;
 mod discovery;
 mod driver;
@@ -25,17 +24,12 @@
 use tokio::task::{spawn_local, LocalSet};
 
 use clients::Clients;
-use config::Config;
 use driver::{Driver, Msg};
 use peers::Peers;
 use servers::Servers;
 use task::Budget;
+use woodgap::config::{self, Config, OVERFLOW, OWN_DESCRIPTORS};
 
-/// Descriptors that are not sockets of clients or servers: the standard ones, the runtime's, the
-/// listener, discovery, the peers' socket, and some that the system has not closed yet.
-const RESERVE: usize = 24;
-/// Connections past the budget that are told so at a time.
-const OVERFLOW: usize = 16;
 /// Clients' part of the sockets: requests in flight need as many to servers, and clients keep idle
 /// connections too.
 const CLIENTS: f64 = 0.6;
@@ -53,7 +47,7 @@
         None => None,
     };
     let (tx, rx) = mpsc::unbounded_channel();
-    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW).max(2);
+    let all = config.sockets.saturating_sub(OWN_DESCRIPTORS + OVERFLOW).max(2);
     let servers = Servers::new(config.figures.clone(), Budget::new(all));
     let mut driver = Driver::new(&config, servers.clone(), peers.clone(), tx.clone());
     driver.start(&config.known);
@@ -76,7 +70,7 @@
     }
     spawn_local(async move {
         while hangup.recv().await.is_some() {
-            match read(&path).and_then(|text| config::discovery_of(&text)) {
+            match read(&path).and_then(|text| Ok(config::discovery_of(&text)?)) {
                 Ok(addr) => {
                     log::line(format_args!("configuration read again: discovery at {addr}"));
                     let _ = tx.send(Msg::Discovery(addr));
@@ -110,7 +104,8 @@
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-    let config = Config::read(&read(path)?, &env)?;
+    let (config, findings) = Config::read(&read(path)?, &env);
+    let config = config.ok_or_else(|| format!("{path}: {findings}"))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(run(config, path.clone())))
 }
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -11,11 +11,11 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use tokio::time::{timeout_at, Instant};
+use woodgap::config::Figures;
+use woodgap::list::{server_number, List};
 use woodgap::settings::Zones;
 use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 
-use crate::config::Figures;
-use crate::discovery::{server_number, List};
 use crate::exchange::{load, outcome, request, Call, Exchange, Link, SETTLE};
 use crate::task::{Budget, Permit};
 
@@ -297,10 +297,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::discovery::Entry as Listed;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::task::{spawn_local, LocalSet};
+    use woodgap::list::Entry as Listed;
 
     fn servers(sockets: usize) -> Rc<Servers> {
         let figures = Figures {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,11 +3,15 @@
 //! A host feeds [`brain::Balancer`] the events of one node and carries out the actions it
 //! answers with. The module does no I/O and reads no clock, so the same events always give the
 //! same actions. The vocabulary is in [`api`], every decision in [`brain`].
+//! What nodes are told is read in [`config`], [`settings`] and [`list`].
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
 pub mod brain;
+pub mod config;
+pub mod findings;
+pub mod list;
 pub mod settings;
 
 pub use api::*;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,7 @@
 use std::str::FromStr;
 
 use crate::api::*;
+use crate::findings::{quote, Findings};
 
 /// What is wrong with an input.
 #[derive(Debug)]
@@ -34,6 +35,12 @@
     }
 }
 
+impl From<Findings> for Fault {
+    fn from(findings: Findings) -> Self {
+        Fault(findings.to_string())
+    }
+}
+
 /// The number in a field of this name.
 pub fn number<T: FromStr>(text: &str, name: &str) -> Result<T, Fault> {
     text.parse().map_err(|_| Fault(format!("field '{name}': '{text}' is not a number in range")))
@@ -90,11 +97,35 @@
     pub fn tenant(&self, name: &str) -> Option<usize> {
         self.tenants.iter().position(|n| n == name)
     }
+
+    /// Notes names that are missing or stand twice: no request can mean what has them.
+    pub(crate) fn odd(&self, findings: &mut Findings) {
+        for (list, names) in [("classes", &self.classes), ("tenants", &self.tenants)] {
+            for (n, name) in names.iter().enumerate() {
+                let path = format!("settings.{list}[{n}].name");
+                if name.is_empty() {
+                    findings.leave_out(path, "a name", "nothing");
+                } else if names[..n].contains(name) {
+                    findings.leave_out(path, "a name of its own", format!("{} again", quote(name)));
+                }
+            }
+        }
+    }
+}
+
+/// A value of the settings, and its place in the file it comes from.
+struct Pair {
+    text: String,
+    at: Option<String>,
 }
 
-/// The pairs by path; what is absent keeps the default given with the question.
+/// The pairs by path.
 #[derive(Default)]
-pub struct Pairs(HashMap<String, String>);
+pub struct Pairs {
+    values: HashMap<String, Pair>,
+    /// Where something stands that is no plain value: its place in the file, and what it is.
+    nested: HashMap<String, (String, &'static str)>,
+}
 
 impl Pairs {
     /// The pairs of a line, set apart by spaces.
@@ -103,122 +134,202 @@
         for pair in text.split(' ').filter(|pair| !pair.is_empty()) {
             let (path, value) =
                 pair.split_once('=').ok_or_else(|| Fault::new(format!("'{pair}' is no pair")))?;
-            pairs.set(path.to_owned(), value.to_owned());
+            pairs.set(path.to_owned(), value.to_owned(), None);
         }
         Ok(pairs)
     }
 
-    /// Sets the value of a path.
-    pub fn set(&mut self, path: String, value: String) {
-        self.0.insert(path, value);
+    /// Sets the value of a path; `at` is its place in its file, where that reads otherwise.
+    pub fn set(&mut self, path: String, text: String, at: Option<String>) {
+        self.values.insert(path, Pair { text, at });
+    }
+
+    /// Notes that something stands at a path that is no plain value.
+    pub fn set_nested(&mut self, path: String, at: String, what: &'static str) {
+        self.nested.insert(path, (at, what));
     }
 
     /// The text at a path; an empty one is absent.
     pub fn text(&self, path: &str) -> Option<&str> {
-        self.0.get(path).map(String::as_str).filter(|text| !text.is_empty() && *text != "-")
+        self.values.get(path).map(|pair| pair.text.as_str()).filter(|text| !text.is_empty() && *text != "-")
+    }
+
+    fn at(&self, path: &str) -> String {
+        self.values.get(path).and_then(|pair| pair.at.clone()).unwrap_or_else(|| path.to_owned())
+    }
+}
+
+/// Reads pairs. What is absent keeps the default given with the question; what can't be read does so too, and
+/// is noted.
+pub struct Reader<'a> {
+    pairs: &'a Pairs,
+    /// What was found wrong so far.
+    pub findings: Findings,
+}
+
+impl<'a> Reader<'a> {
+    /// A reader of these pairs.
+    pub fn new(pairs: &'a Pairs) -> Self {
+        Reader { pairs, findings: Findings::default() }
+    }
+
+    /// The text at a path.
+    pub fn text(&self, path: &str) -> Option<&'a str> {
+        self.pairs.text(path)
     }
 
     /// The whole number at a path.
-    pub fn whole(&self, path: &str, default: u64) -> Result<u64, Fault> {
-        self.text(path).map_or(Ok(default), |text| number(text, path))
+    pub fn whole(&mut self, path: &str, default: u64) -> u64 {
+        self.number(path, default, "a whole number, 0 or more", |text| text.parse().ok())
     }
 
-    fn real(&self, path: &str, default: f64) -> Result<f64, Fault> {
-        self.text(path).map_or(Ok(default), |text| finite(text, path))
+    fn real(&mut self, path: &str, default: f64) -> f64 {
+        let finite = |text: &str| text.parse().ok().filter(|value: &f64| value.is_finite());
+        self.number(path, default, "a finite number", finite)
     }
 
-    fn flag(&self, path: &str) -> bool {
-        matches!(self.text(path), Some("true" | "1"))
+    /// The text at a path; notes where something else stands there.
+    fn plain(&mut self, path: &str, expected: &str) -> Option<&'a str> {
+        if let Some((at, what)) = self.pairs.nested.get(path) {
+            self.findings.leave_out(at, expected, *what);
+        }
+        self.text(path)
+    }
+
+    fn number<T>(&mut self, path: &str, default: T, expected: &str, read: impl Fn(&str) -> Option<T>) -> T {
+        let Some(text) = self.plain(path, expected) else { return default };
+        read(text).unwrap_or_else(|| {
+            self.findings.refuse(self.pairs.at(path), expected, quote(text));
+            default
+        })
+    }
+
+    fn flag(&mut self, path: &str) -> bool {
+        let words = [("true", true), ("1", true), ("false", false), ("0", false)];
+        self.word(path, &words).unwrap_or(false)
+    }
+
+    /// What the word at a path stands for. An unknown word is as good as none: a later version may know it.
+    fn word<T: Clone>(&mut self, path: &str, words: &[(&str, T)]) -> Option<T> {
+        let expected = || words.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(" or ");
+        let text = match self.pairs.nested.contains_key(path) {
+            true => self.plain(path, &expected())?,
+            false => self.text(path)?,
+        };
+        let known = words.iter().find(|(word, _)| *word == text);
+        if known.is_none() {
+            self.findings.leave_out(self.pairs.at(path), expected(), quote(text));
+        }
+        known.map(|(_, meaning)| meaning.clone())
     }
 }
 
-/// Reads the pairs; unknown ones are ignored.
-pub fn parse(p: &Pairs) -> Result<(Settings, Names), Fault> {
-    let (classes, class_names) = list(p, "classes", class)?;
-    let (tenants, tenant_names) = list(p, "tenants", tenant)?;
+/// Reads the settings, or says all that is wrong with them. Unknown paths and words are ignored.
+pub fn read(pairs: &Pairs) -> Result<(Settings, Names), Findings> {
+    let mut reader = Reader::new(pairs);
+    let read = parse(&mut reader);
+    match reader.findings.refused() {
+        true => Err(reader.findings),
+        false => Ok(read),
+    }
+}
+
+/// Reads the settings as far as that goes; the reader notes what is wrong.
+pub fn parse(p: &mut Reader<'_>) -> (Settings, Names) {
+    let (classes, class_names) = list(p, "classes", class);
+    let (tenants, tenant_names) = list(p, "tenants", tenant);
     let settings = Settings {
-        group_size: p.whole("group-size", 1)?.clamp(1, 1 << 20) as u32,
+        group_size: p.whole("group-size", 1).clamp(1, 1 << 20) as u32,
         classes,
         tenants,
-        over_share_worth: p.real("over-share-worth", 1.0)?,
-        worth_by: match p.text("worth-by") {
-            Some("work") => WorthBy::Work,
-            _ => WorthBy::Request,
-        },
-        weight_source: match p.text("weight-source") {
-            Some("nominal") => WeightSource::Nominal,
-            Some("rough") => WeightSource::Rough,
-            Some("live") => WeightSource::Live,
-            _ => WeightSource::Off,
-        },
-        discovery: match p.text("registry-mode") {
-            Some("ask") => Discovery::Ask,
-            _ => Discovery::Push,
-        },
+        over_share_worth: p.real("over-share-worth", 1.0),
+        worth_by: p
+            .word("worth-by", &[("work", WorthBy::Work), ("request", WorthBy::Request)])
+            .unwrap_or_default(),
+        weight_source: p
+            .word(
+                "weight-source",
+                &[
+                    ("nominal", WeightSource::Nominal),
+                    ("rough", WeightSource::Rough),
+                    ("live", WeightSource::Live),
+                    ("off", WeightSource::Off),
+                ],
+            )
+            .unwrap_or_default(),
+        discovery: p
+            .word("registry-mode", &[("ask", Discovery::Ask), ("push", Discovery::Push)])
+            .unwrap_or_default(),
         warm_keys: p.flag("domain.warm-keys"),
         cancelling: p.flag("bounds.cancelling"),
         may_probe: p.flag("bounds.may-probe"),
         second_copies: p.flag("bounds.second-copies"),
-        max_attempts: p.whole("bounds.max-attempts", 1)?.min(u64::from(u32::MAX)) as u32,
+        max_attempts: p.whole("bounds.max-attempts", 1).min(u64::from(u32::MAX)) as u32,
         retry_after: p.flag("bounds.retry-after"),
-        max_retry_after: p.whole("bounds.max-retry-after", 0)?,
-        handshake_price: p.real("deductions.handshake", 0.0)?,
-        connection_price: p.real("deductions.connection", 0.0)?,
-        start_capacity: p.real("rules.start-capacity", 1.0)?,
-        ramp_time: p.whole("rules.ramp-time", 0)?,
-        fall_multiple: p.real("rules.fall-multiple", 1.0)?,
-        ask_within: p.whole("rules.ask-within", 10_000_000)?,
-        settle_after_doubt: p.whole("rules.settle-after-doubt", 0)?,
+        max_retry_after: p.whole("bounds.max-retry-after", 0),
+        handshake_price: p.real("deductions.handshake", 0.0),
+        connection_price: p.real("deductions.connection", 0.0),
+        start_capacity: p.real("rules.start-capacity", 1.0),
+        ramp_time: p.whole("rules.ramp-time", 0),
+        fall_multiple: p.real("rules.fall-multiple", 1.0),
+        ask_within: p.whole("rules.ask-within", 10_000_000),
+        settle_after_doubt: p.whole("rules.settle-after-doubt", 0),
         full_may_have_run: p.flag("rules.may-shed-begun"),
         util_field: p.text("report.fields").and_then(|fields| fields.split(',').position(|f| f == "util")),
     };
-    Ok((settings, Names { classes: class_names, tenants: tenant_names }))
+    (settings, Names { classes: class_names, tenants: tenant_names })
 }
 
+/// The most items of a list in the settings.
+const MOST_ITEMS: u64 = 10_000;
+
 /// The items `path.0`, `path.1` and so on, with their names.
-fn list<T>(
-    p: &Pairs,
-    path: &str,
-    item: fn(&Pairs, &str) -> Result<T, Fault>,
-) -> Result<(Vec<T>, Vec<String>), Fault> {
-    let count = p.whole(&format!("{path}.count"), 0)?;
-    if count > 10_000 {
-        return Err(Fault::new(format!("{path}.count={count} is too many")));
-    }
-    let (mut items, mut names) = (Vec::new(), Vec::new());
-    for i in 0..count {
-        let prefix = format!("{path}.{i}");
-        items.push(item(p, &prefix)?);
-        names.push(p.text(&format!("{prefix}.name")).unwrap_or("").to_owned());
+fn list<T>(p: &mut Reader<'_>, path: &str, item: fn(&mut Reader<'_>, &str) -> T) -> (Vec<T>, Vec<String>) {
+    let count = format!("{path}.count");
+    const EXPECTED: &str = "a list of objects";
+    if p.text(&count).is_none() {
+        if let Some(text) = p.plain(path, EXPECTED) {
+            p.findings.leave_out(p.pairs.at(path), EXPECTED, quote(text));
+        }
+    }
+    let mut items = p.whole(&count, 0);
+    if items > MOST_ITEMS {
+        p.findings.refuse(p.pairs.at(&count), format!("at most {MOST_ITEMS} items"), items.to_string());
+        items = 0;
     }
-    Ok((items, names))
+    let read = |i| {
+        let prefix = format!("{path}.{i}");
+        let name = p.text(&format!("{prefix}.name")).unwrap_or("").to_owned();
+        (item(p, &prefix), name)
+    };
+    (0..items).map(read).unzip()
 }
 
-fn class(p: &Pairs, at: &str) -> Result<Class, Fault> {
-    let deadline = p.whole(&format!("{at}.deadline"), 1_000_000)?;
-    let semantics = match p.text(&format!("{at}.semantics")) {
+fn class(p: &mut Reader<'_>, at: &str) -> Class {
+    let deadline = p.whole(&format!("{at}.deadline"), 1_000_000);
+    let words = ["safe", "keyed", "unsafe"].map(|word| (word, word));
+    let semantics = match p.word(&format!("{at}.semantics"), &words) {
         Some("safe") => Semantics::Safe,
-        Some("keyed") => Semantics::Keyed {
-            scope: match p.text(&format!("{at}.key-scope")) {
-                Some("all") => KeyScope::All,
-                Some("zone") => KeyScope::Zone,
-                _ => KeyScope::Cell,
-            },
-            ttl: p.whole(&format!("{at}.key-ttl"), 0)?,
-        },
+        Some("keyed") => {
+            let scopes = [("all", KeyScope::All), ("zone", KeyScope::Zone), ("cell", KeyScope::Cell)];
+            Semantics::Keyed {
+                scope: p.word(&format!("{at}.key-scope"), &scopes).unwrap_or(KeyScope::Cell),
+                ttl: p.whole(&format!("{at}.key-ttl"), 0),
+            }
+        }
         // What is not known to be repeatable is not repeated.
         _ => Semantics::Unsafe,
     };
-    Ok(Class {
-        aim: p.whole(&format!("{at}.aim"), deadline)?,
+    Class {
+        aim: p.whole(&format!("{at}.aim"), deadline),
         deadline,
-        points: p.real(&format!("{at}.points"), 1.0)?,
-        late_share: p.real(&format!("{at}.late-share"), 0.0)?,
+        points: p.real(&format!("{at}.points"), 1.0),
+        late_share: p.real(&format!("{at}.late-share"), 0.0),
         semantics,
         in_order: p.flag(&format!("{at}.serial-by-key")),
-    })
+    }
 }
 
-fn tenant(p: &Pairs, at: &str) -> Result<Tenant, Fault> {
-    Ok(Tenant { quota_per_s: p.real(&format!("{at}.quota-per-s"), 0.0)? })
+fn tenant(p: &mut Reader<'_>, at: &str) -> Tenant {
+    Tenant { quota_per_s: p.real(&format!("{at}.quota-per-s"), 0.0) }
 }
