--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -116,7 +116,7 @@
                 Err(error) => {
                     // Out of descriptors, accept fails at once and the connection stays: without
                     // a pause this loop would take the core that could close some.
-                    crate::log::line(format_args!("accept: {error}"));
+                    tracing::warn!(%error, "accept failed");
                     self.servers.evict();
                     sleep(Duration::from_millis(10)).await;
                 }
--- a/src/bin/woodgap/discovery.rs
+++ b/src/bin/woodgap/discovery.rs
@@ -54,7 +54,7 @@
 /// Watches from a revision on and hands on what comes until the watch ends; then says `Failed`.
 pub async fn watch(addr: SocketAddr, revision: u64, mut tell: impl FnMut(News)) {
     if let Err(reason) = follow(addr, revision, &mut tell).await {
-        crate::log::line(format_args!("discovery: {reason}"));
+        tracing::warn!(discovery = %addr, revision, %reason, "watch ended");
     }
     tell(News::Failed);
 }
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -212,7 +212,8 @@
             Due::Overdue(id) => {
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
-                        crate::log::line(format_args!("a request was not answered by its deadline"));
+                        let request = txn(&held.call);
+                        tracing::warn!(request, "not answered by its deadline");
                         let _ = reply.send(Answer::Late);
                         self.events.push_back(Event::Lapsed(request_id(id)));
                         // One with no attempt out ends here; nothing else would forget it.
@@ -287,6 +288,14 @@
         // One that was cancelled meanwhile has had its outcome.
         let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let Ended { outcome, load, answer } = ended;
+        tracing::debug!(
+            request = txn(&held.call),
+            attempt,
+            server = self.servers.name(out.server),
+            ?outcome,
+            spent_us = out.sent.elapsed().as_micros() as Micros,
+            "attempt ended"
+        );
         if let Some((headers, body)) = answer {
             self.answer(id, Answer::Served(headers, body));
         }
@@ -303,6 +312,7 @@
                 self.revision = list.revision.unwrap_or(self.revision);
                 self.moved = 0;
                 let (kind, members) = self.servers.apply(&list);
+                tracing::debug!(revision = self.revision, ?kind, entries = members.len(), "list");
                 self.events.push_back(Event::Sync { kind, members });
             }
             News::Failed => {
@@ -360,7 +370,7 @@
                     peers.tell(peer, &data);
                 }
             }
-            Action::Log(line) => crate::log::line(format_args!("{line}")),
+            Action::Log(line) => tracing::info!("{line}"),
         }
     }
 
@@ -424,6 +434,11 @@
     }
 }
 
+/// What the client calls a request, for the log.
+fn txn(call: &Call) -> Option<&str> {
+    call.headers.get("x-txn")?.to_str().ok()
+}
+
 /// A request's number in the module's form, and back.
 fn request_id(id: u64) -> RequestId {
     let mut bytes = [0; 36];
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -22,6 +22,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
+use tracing::{info, info_span, warn};
 
 use clients::Clients;
 use driver::{Driver, Msg};
@@ -72,19 +73,19 @@
         while hangup.recv().await.is_some() {
             match read(&path).and_then(|text| Ok(config::discovery_of(&text)?)) {
                 Ok(addr) => {
-                    log::line(format_args!("configuration read again: discovery at {addr}"));
+                    info!(discovery = %addr, "configuration read again");
                     let _ = tx.send(Msg::Discovery(addr));
                 }
-                Err(error) => log::line(format_args!("configuration kept: {error}")),
+                Err(error) => warn!(%error, "configuration kept"),
             }
         }
     });
     let driver = spawn_local(driver.run(rx));
     let acceptor = spawn_local(clients.clone().accept(listener));
-    log::line(format_args!("{} listens on {listen}", config.name));
+    info!(%listen, "ready");
     let serve = async {
         term.recv().await;
-        log::line(format_args!("{} drains", config.name));
+        info!("drains");
         clients.drain().await;
     };
     // Without its driver or acceptor a node answers nobody; the platform starts a new one.
@@ -106,6 +107,12 @@
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
     let (config, findings) = Config::read(&read(path)?, &env);
     let config = config.ok_or_else(|| format!("{path}: {findings}"))?;
+    log::start(&env)?;
+    // All of it runs on this thread, so each line of the log has the name.
+    let _node = info_span!("node", node = config.name).entered();
+    for finding in findings.all() {
+        warn!(path = finding.path, expected = finding.expected, found = finding.found, "left out");
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(run(config, path.clone())))
 }
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -153,6 +153,11 @@
         (!late && !entry.replaced).then_some((entry.addr, entry.epoch))
     }
 
+    /// What discovery calls a server.
+    pub fn name(&self, server: ServerId) -> Option<String> {
+        self.names.borrow().get(&server.0).cloned()
+    }
+
     // Connections.
 
     /// Closes the idle connections to a server.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -158,6 +158,7 @@
     watches: Receiver<(Message, TcpStream)>,
     config: Value,
     file: tempfile::NamedTempFile,
+    log: Receiver<String>,
 }
 
 impl Drop for Site {
@@ -178,6 +179,11 @@
 
     /// With the settings changed.
     fn configured(servers: usize, limits: Value, change: impl Fn(&mut Value)) -> Site {
+        Site::start(servers, limits, change, &[])
+    }
+
+    /// With further variables set.
+    fn start(servers: usize, limits: Value, change: impl Fn(&mut Value), env: &[(&str, &str)]) -> Site {
         let (tx, seen) = channel();
         let does: Vec<_> = (0..servers).map(|_| Arc::new(Mutex::new(Does::Serve))).collect();
         let members: Vec<Value> = does
@@ -215,16 +221,15 @@
             .env_clear()
             .env("BALANCER_CONFIG", file.path())
             .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
+            .envs(env.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut log = BufReader::new(node.stderr.take().unwrap()).lines();
-        let addr = log
-            .by_ref()
-            .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
-            .unwrap();
-        thread::spawn(move || log.for_each(drop));
-        Site { node, addr, does, members, seen, watches, config, file }
+        let addr = log.by_ref().find_map(|line| listens(&line.unwrap())).unwrap();
+        let (tx, lines) = channel();
+        thread::spawn(move || log.map_while(Result::ok).for_each(|line| drop(tx.send(line))));
+        Site { node, addr, does, members, seen, watches, config, file, log: lines }
     }
 
     fn all_do(&self, what: Does) {
@@ -284,6 +289,15 @@
     }
 }
 
+/// The address in the line that says that the node is ready, in either form of the log.
+fn listens(line: &str) -> Option<SocketAddr> {
+    let addr = match serde_json::from_str::<Value>(line) {
+        Ok(json) => json["fields"]["listen"].as_str()?.to_owned(),
+        Err(_) => line.split_once("ready listen=")?.1.to_owned(),
+    };
+    addr.parse().ok()
+}
+
 fn request(class: &str, id: &str, left_ms: u64) -> Vec<u8> {
     request_of("7f3a", class, id, left_ms)
 }
@@ -767,3 +781,38 @@
     site.signal("-HUP");
     assert!(site.node.wait().unwrap().success());
 }
+
+#[test]
+fn the_log_in_json_names_node_request_server_and_revision() {
+    let env = [("BALANCER_LOG_FORMAT", "json"), ("RUST_LOG", "debug")];
+    let site = Site::start(1, json!({"sockets": 256}), |_| {}, &env);
+    assert_eq!(site.ask("look", "abc").status(), 200);
+    let (_, mut watch) = site.watch();
+    chunk(&mut watch, &format!("{}\n", json!({"revision": 43, "complete": true, "members": site.members})));
+    let line = |message: &str| loop {
+        let line = site.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no line '{message}'"));
+        let line: Value = serde_json::from_str(&line).unwrap();
+        if line["fields"]["message"] == message {
+            return line;
+        }
+    };
+    let attempt = line("attempt ended");
+    assert_eq!(attempt["span"]["node"], "n0");
+    assert_eq!((&attempt["fields"]["request"], &attempt["fields"]["server"]), (&json!("abc"), &json!("s-0")));
+    assert_eq!((&attempt["fields"]["attempt"], &attempt["fields"]["outcome"]), (&json!(0), &json!("Ok")));
+    assert_eq!(line("list")["fields"]["revision"], 43);
+}
+
+#[test]
+fn a_log_format_that_is_none_is_said_at_the_start() {
+    let site = Site::new(1);
+    let output = Command::new(env!("CARGO_BIN_EXE_woodgap"))
+        .env_clear()
+        .env("BALANCER_CONFIG", site.file.path())
+        .env("BALANCER_LOG_FORMAT", "xml")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(said.contains("BALANCER_LOG_FORMAT 'xml': expected text or json"), "{said}");
+}
