--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -5,7 +5,7 @@
 use clap::{ArgGroup, Parser, Subcommand};
 use clap_complete::Shell;
 
-use crate::settings::LogFormat;
+use crate::settings::Flags;
 
 const VERSION: &str = concat!(env!("CARGO_PKG_VERSION"), " (commit ", env!("VERGEN_GIT_SHA"), ")");
 
@@ -19,15 +19,8 @@
         then flags; a later one counts. RUST_LOG stands for the filter where none of them sets it."
 )]
 pub struct Args {
-    /// Configuration file in TOML, with the keys log_format and log_filter
-    #[arg(long, global = true, env = "FIRCROFT_CONFIG", value_name = "FILE")]
-    pub config: Option<PathBuf>,
-    /// Form of the log on standard error: auto is text on a terminal and JSON elsewhere
-    #[arg(long, global = true, value_name = "FORMAT")]
-    pub log_format: Option<LogFormat>,
-    /// What is logged, as tracing's filters write it
-    #[arg(long, global = true, value_name = "FILTER")]
-    pub log_filter: Option<String>,
+    #[command(flatten)]
+    pub settings: Flags,
     #[command(subcommand)]
     pub command: Command,
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -37,7 +37,7 @@
 impl std::error::Error for WrongUse {}
 
 fn run(args: Args, out: &mut impl Write) -> anyhow::Result<Verdict> {
-    let settings = Settings::load(&args)?;
+    let settings = Settings::load(&args.settings)?;
     logging::start(&settings)?;
     tracing::debug!(?settings, "configuration read");
     match args.command {
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -1,11 +1,12 @@
 //! The program's own configuration: a TOML file, then `FIRCROFT_*`, then flags.
 
+use std::path::PathBuf;
+
 use anyhow::Context;
 use figment::providers::{Env, Format, Serialized, Toml};
 use figment::Figment;
 use serde::{Deserialize, Serialize};
 
-use crate::args::Args;
 use crate::WrongUse;
 
 /// How the log is written.
@@ -37,33 +38,38 @@
     }
 }
 
-/// The flags that were given.
-#[derive(Serialize)]
-struct Flags<'a> {
+/// The flags that set them.
+#[derive(Debug, clap::Args, Serialize)]
+pub struct Flags {
+    /// Configuration file in TOML, with the keys log_format and log_filter
+    #[arg(long, global = true, env = "FIRCROFT_CONFIG", value_name = "FILE")]
+    #[serde(skip)]
+    config: Option<PathBuf>,
+    /// Form of the log on standard error: auto is text on a terminal and JSON elsewhere
+    #[arg(long, global = true, value_name = "FORMAT")]
     #[serde(skip_serializing_if = "Option::is_none")]
     log_format: Option<LogFormat>,
+    /// What is logged, as tracing's filters write it
+    #[arg(long, global = true, value_name = "FILTER")]
     #[serde(skip_serializing_if = "Option::is_none")]
-    log_filter: Option<&'a str>,
+    log_filter: Option<String>,
 }
 
 impl Settings {
     /// Reads all places; a later one counts.
-    pub fn load(args: &Args) -> anyhow::Result<Settings> {
+    pub fn load(flags: &Flags) -> anyhow::Result<Settings> {
         let mut figment = Figment::from(Serialized::defaults(Settings::default()));
         if let Ok(filter) = std::env::var("RUST_LOG") {
             figment = figment.merge(("log_filter", filter));
         }
-        if let Some(file) = &args.config {
+        if let Some(file) = &flags.config {
             // Figment takes a file that is not there for an empty one.
             std::fs::metadata(file).with_context(|| file.display().to_string())?;
             figment = figment.merge(Toml::file_exact(file));
         }
         figment
             .merge(Env::prefixed("FIRCROFT_").ignore(&["config"]))
-            .merge(Serialized::defaults(Flags {
-                log_format: args.log_format,
-                log_filter: args.log_filter.as_deref(),
-            }))
+            .merge(Serialized::defaults(flags))
             .extract()
             .map_err(|error| WrongUse(format!("configuration: {error}")).into())
     }
