Count what a node does, and add up a fleet's counts with fircroft fleet

A node now counts how its requests, attempts, dials, idle connections and probes end, and writes that once a second where RUST_LOG=woodgap::counts=debug asks for it; fircroft fleet adds up the last line of every process.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -32,6 +32,8 @@
     Check(Check),
     /// Show who owns the slots of the Maglev table, and what a change of servers would move
     Table(Table),
+    /// Add up the counts in nodes' logs: where requests, attempts, connections and refusals went
+    Fleet(Fleet),
     /// Print a completion script for a shell
     #[command(
         after_help = "Example:\n  fircroft completions bash > ~/.local/share/bash-completion/completions/fircroft"
@@ -67,6 +69,21 @@
     pub json: bool,
 }
 
+#[derive(Debug, clap::Args)]
+#[command(
+    after_help = "Nodes write their counts once a second where RUST_LOG=woodgap::counts=debug (or debug) and \
+    BALANCER_LOG_FORMAT=json are set. Of each process the last line counts.\n\n\
+    Example:\n  fircroft fleet logs/"
+)]
+pub struct Fleet {
+    /// Logs of nodes, or folders of them
+    #[arg(value_name = "LOG", required = true)]
+    pub logs: Vec<PathBuf>,
+    /// Print JSON
+    #[arg(long)]
+    pub json: bool,
+}
+
 #[derive(Debug, clap::Args)]
 #[command(group(ArgGroup::new("source").required(true).args(["list", "servers"])))]
 #[command(
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 
 mod args;
 mod check;
+mod fleet;
 mod logging;
 mod settings;
 mod table;
@@ -42,6 +43,7 @@
     tracing::debug!(?settings, "configuration read");
     match args.command {
         Command::Check(Check::Config(check)) => check::config(&check, out),
+        Command::Fleet(request) => fleet::run(&request, out),
         Command::Table(request) => table::run(&request, out),
         Command::Completions { shell } => {
             let mut script = Vec::new();
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -224,3 +224,26 @@
     let (code, _, err) = ended(&child.wait_with_output().unwrap());
     assert_eq!((code, err.as_str()), (0, ""));
 }
+
+#[test]
+fn the_counts_of_a_fleet_are_added_up() {
+    let dir = tempfile::tempdir().unwrap();
+    let line = |counts: &str| format!("{{\"fields\":{{\"message\":\"counts\",\"counts\":\"{counts}\"}}}}\n");
+    std::fs::write(dir.path().join("n0.log"), line("requests=1") + &line("requests=30 served=20 dialled=9"))
+        .unwrap();
+    std::fs::write(dir.path().join("n1.log"), line("requests=10 served=10 ok=10 reused=10")).unwrap();
+    std::fs::write(dir.path().join("n2.log"), "killed at its start\n").unwrap();
+    let logs = dir.path().to_str().unwrap();
+    let (code, out, _) = ended(&run(&["fleet", logs]));
+    assert_eq!(code, 0);
+    assert!(out.contains("2 nodes, 2 processes, 1 logs without counts"), "{out}");
+    assert!(out.contains("busiest node 1.50 times the mean"), "{out}");
+    assert!(out.contains("requests 40\n  served                  30   75.0%\n"), "{out}");
+    assert!(out.contains("a request: 0.250 attempts, 0.225 new connections, 0.000 probes"), "{out}");
+    let (_, out, _) = ended(&run(&["fleet", "--json", logs]));
+    assert_eq!(serde_json::from_str::<Value>(&out).unwrap()["counts"]["dialled"], 9);
+    let (code, _, err) = ended(&run(&["fleet", dir.path().join("n2.log").to_str().unwrap()]));
+    assert!(code == 2 && err.contains("RUST_LOG=woodgap::counts=debug"), "{err}");
+    let (code, _, err) = ended(&run(&["fleet", "no-such-folder"]));
+    assert!(code == 1 && err.contains("no-such-folder"), "{err}");
+}
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -18,6 +18,7 @@
     SyncKind, TenantId, TimerId,
 };
 
+use crate::counts::Count;
 use crate::discovery::{watch, News};
 use crate::exchange::Call;
 use crate::peers::Peers;
@@ -27,6 +28,8 @@
 /// The module answers at the deadline it was given; what it has not answered this much later, the
 /// node answers, whatever the module does.
 const OVERDUE: Duration = Duration::from_millis(5);
+/// The counts are written at each so many tidyings.
+const COUNTS_EVERY: u64 = 2;
 /// Pause before a watch that the module does not ask for is opened again.
 const AGAIN: Duration = Duration::from_millis(500);
 /// Pause before a watch at a new address is opened again, and how often that is done before it is
@@ -101,6 +104,8 @@
     deadline: Instant,
     overdue: delay_queue::Key,
     attempts: Vec<Option<Out>>,
+    /// An attempt was begun.
+    tried: bool,
 }
 
 /// What falls due.
@@ -130,6 +135,8 @@
     /// Tries that a watch at a new address has left, until its first list.
     moved: u32,
     tx: mpsc::UnboundedSender<Msg>,
+    /// How often the connections were tidied.
+    ticks: u64,
 }
 
 /// The module's clock: Unix time at the start and monotonic from there, so that the times at
@@ -169,6 +176,7 @@
             watching: None,
             moved: 0,
             tx,
+            ticks: 0,
         }
     }
 
@@ -205,6 +213,10 @@
             Due::Tidy => {
                 self.servers.tidy();
                 self.due.insert(Due::Tidy, TIDY);
+                self.ticks += 1;
+                if self.ticks.is_multiple_of(COUNTS_EVERY) {
+                    self.count_line();
+                }
             }
             // Unless one was opened meanwhile.
             Due::Watch if self.watching.is_none() => self.subscribe(),
@@ -213,6 +225,7 @@
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
                         let request = txn(&held.call);
+                        self.servers.counts.one(Count::Late);
                         tracing::warn!(request, "not answered by its deadline");
                         let _ = reply.send(Answer::Late);
                         self.events.push_back(Event::Lapsed(request_id(id)));
@@ -230,6 +243,7 @@
             Msg::Gone(id) => {
                 let Some(held) = self.held.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
+                    self.servers.counts.one(Count::Gone);
                     self.due.remove(&held.overdue);
                     self.events.push_back(Event::Lapsed(request_id(id)));
                     self.forget(id);
@@ -256,9 +270,13 @@
 
     fn request(&mut self, arrival: Arrival) {
         let Arrival { id, class, tenant, key, repeat, cost, deadline, call, reply } = arrival;
+        self.servers.counts.one(Count::Requests);
         let patience = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let overdue = self.due.insert_at(Due::Overdue(id), deadline + OVERDUE);
-        self.held.insert(id, Held { reply: Some(reply), call, deadline, overdue, attempts: Vec::new() });
+        self.held.insert(
+            id,
+            Held { reply: Some(reply), call, deadline, overdue, attempts: Vec::new(), tried: false },
+        );
         let id = request_id(id);
         self.events.push_back(Event::Request(Request { id, patience, class, cost, repeat, tenant, key }));
     }
@@ -270,6 +288,14 @@
             if !matches!(answer, Answer::Late) {
                 self.due.remove(&held.overdue);
             }
+            self.servers.counts.one(match (&answer, held.tried) {
+                (Answer::Served(..), _) => Count::Served,
+                (Answer::Refused(_), false) => Count::RefusedUntried,
+                (Answer::Refused(_), true) => Count::RefusedTried,
+                (Answer::Failed, false) => Count::FailedUntried,
+                (Answer::Failed, true) => Count::FailedTried,
+                (Answer::Late, _) => Count::Late,
+            });
             let _ = reply.send(answer);
         }
         self.forget(id);
@@ -288,6 +314,7 @@
         // One that was cancelled meanwhile has had its outcome.
         let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let Ended { outcome, load, answer } = ended;
+        self.servers.counts.outcome(outcome);
         tracing::debug!(
             request = txn(&held.call),
             attempt,
@@ -386,6 +413,7 @@
                 held.attempts.push(None);
             }
             let (id, attempt, outcome) = (request_id(id), attempt as u32, Outcome::Moot);
+            self.servers.counts.outcome(outcome);
             let closed = Closed { id, attempt, server, outcome, spent: 0, done, load: Vec::new() };
             return self.events.push_back(Event::Closed(closed));
         };
@@ -400,6 +428,7 @@
             let _ = tx.send(Msg::Closed { id, attempt, ended });
         });
         held.attempts.push(Some(Out { server, sent: now, _task: task }));
+        held.tried = true;
     }
 
     fn cancel(&mut self, id: u64, attempt: u32) {
@@ -411,6 +440,7 @@
         // It may be silent because its machine is gone: see `Servers::attempt`.
         self.servers.close_idle(server);
         let (id_, outcome) = (request_id(id), Outcome::Cancelled);
+        self.servers.counts.outcome(outcome);
         self.events.push_back(Event::Closed(Closed {
             id: id_,
             attempt,
@@ -423,6 +453,11 @@
         self.forget(id);
     }
 
+    /// Writes the counts to the log, where they are asked for.
+    fn count_line(&self) {
+        tracing::debug!(target: "woodgap::counts", counts = %self.servers.counts, "counts");
+    }
+
     /// Opens a watch in place of the one there may be.
     fn subscribe(&mut self) {
         self.watch += 1;
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -6,6 +6,7 @@
 
 mod clients;
 mod conn;
+mod counts;
 mod discovery;
 mod driver;
 mod exchange;
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -16,6 +16,7 @@
 use woodgap::settings::Zones;
 use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 
+use crate::counts::{Count, Counts};
 use crate::exchange::{load, outcome, request, Call, Exchange, Link, SETTLE};
 use crate::task::{Budget, Permit};
 
@@ -59,6 +60,8 @@
     names: RefCell<HashMap<u32, String>>,
     epochs: Cell<u64>,
     zones: RefCell<Zones>,
+    /// What the node has done so far.
+    pub counts: Counts,
 }
 
 impl Servers {
@@ -70,6 +73,7 @@
             names: RefCell::default(),
             epochs: Cell::new(0),
             zones: RefCell::default(),
+            counts: Counts::default(),
         })
     }
 
@@ -163,6 +167,7 @@
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: ServerId) {
         if let Some(entry) = self.entries.borrow_mut().get_mut(&server) {
+            self.counts.add(Count::IdleFreed, entry.idle.len());
             entry.idle.clear();
         }
     }
@@ -171,7 +176,12 @@
     pub fn tidy(&self) {
         let longest = self.figures.keepalive.mul_f64(REUSE);
         for entry in self.entries.borrow_mut().values_mut() {
-            entry.idle.retain(|link| !link.is_closed() && link.idle_since.elapsed() < longest);
+            let held = entry.idle.len();
+            entry.idle.retain(|link| !link.is_closed());
+            let open = entry.idle.len();
+            entry.idle.retain(|link| link.idle_since.elapsed() < longest);
+            self.counts.add(Count::IdleBroken, held - open);
+            self.counts.add(Count::IdleExpired, open - entry.idle.len());
         }
     }
 
@@ -179,7 +189,9 @@
     pub fn evict(&self) -> bool {
         let mut entries = self.entries.borrow_mut();
         let oldest = entries.values_mut().filter(|e| !e.idle.is_empty()).min_by_key(|e| e.idle[0].idle_since);
-        oldest.map(|entry| drop(entry.idle.remove(0))).is_some()
+        let found = oldest.map(|entry| drop(entry.idle.remove(0))).is_some();
+        self.counts.add(Count::IdleEvicted, usize::from(found));
+        found
     }
 
     /// The connection used last of those that have rested and nothing came on.
@@ -190,8 +202,10 @@
         while let Some(place) = entry.idle.iter().rposition(|link| link.idle_since.elapsed() >= SETTLE) {
             let link = entry.idle.remove(place);
             if link.is_clean() && link.idle_since.elapsed() < longest {
+                self.counts.one(Count::Reused);
                 return Some(link);
             }
+            self.counts.one(Count::IdleBroken);
         }
         None
     }
@@ -221,8 +235,12 @@
     }
 
     async fn dial(&self, addr: SocketAddr, epoch: u64) -> io::Result<Link> {
-        let permit = self.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
-        Link::dial(addr, epoch, permit).await
+        let Some(permit) = self.permit().await else {
+            self.counts.one(Count::NoSocket);
+            return Err(io::Error::other("no socket is free"));
+        };
+        self.counts.one(Count::Dialled);
+        Link::dial(addr, epoch, permit).await.inspect_err(|_| self.counts.one(Count::DialRefused))
     }
 
     // Attempts.
@@ -237,7 +255,11 @@
                     let connected = until.min(Instant::now() + self.figures.dial_timeout);
                     match timeout_at(connected, self.dial(addr, epoch)).await {
                         Ok(Ok(link)) => (link, false),
-                        _ => return Outcome::ConnectFailed.into(),
+                        Ok(Err(_)) => return Outcome::ConnectFailed.into(),
+                        Err(_) => {
+                            self.counts.one(Count::DialSilent);
+                            return Outcome::ConnectFailed.into();
+                        }
                     }
                 }
             };
@@ -290,6 +312,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
         };
+        self.counts.one(Count::Probes);
         // A probe waits like a request, but not like a patient one.
         let until = Instant::now() + self.figures.dial_timeout * 2;
         self.attempt(server, &call, until).await
