--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -83,7 +83,9 @@
     let mut all: Vec<Counts> = Vec::new();
     let (mut line, mut fresh) = (Vec::new(), true);
     while log.read_until(b'\n', &mut line)? > 0 {
-        let value: Value = serde_json::from_slice(&line).unwrap_or_default();
+        // Whoever keeps the logs may have put a time before each line.
+        let start = line.iter().position(|&byte| byte == b'{').unwrap_or(0);
+        let value: Value = serde_json::from_slice(&line[start..]).unwrap_or_default();
         line.clear();
         let fields = &value["fields"];
         fresh |= fields["message"] == "ready";
@@ -160,7 +162,7 @@
             "{\"fields\":{\"mess".to_owned() + "\n",
             "not json\n".to_owned(),
             line("\"message\":\"ready\""),
-            counts("requests=11 ok=x full=1"),
+            "0.917 ".to_owned() + &counts("requests=11 ok=x full=1"),
         ];
         let all = processes(log.concat().as_bytes()).unwrap();
         let text: Vec<String> = all.iter().map(|counts| format!("{counts:?}")).collect();
