Eject on one silence in a large group, for as long as it takes to matter

A server that was crowded once stays slow until it idles, and it never does.

No dial failed; idle ones kept for 1 or 2.5 s instead of 6 served no more; one owner of a hot key to each node opened 5% fewer and served no more.

In a group above LARGE_GROUP one silent time-out now ejects, for at least the node's own mean time between two requests for a server, and a repeatable request tries it.

--- a/src/brain/health.rs
+++ b/src/brain/health.rs
@@ -194,7 +194,10 @@
             self.mood.failing += 0.01 * (failed - self.mood.failing);
         }
         let dead = closed.outcome == Outcome::ConnectFailed && !full;
-        let stands_out = server.failing > FAILING.max(FAILING_MORE * self.mood.failing);
+        // In a large group a server's next answer to this node is seconds away. A sound server hardly ever
+        // says nothing until an attempt's time is up, a jammed one mostly does: one such silence is enough.
+        let mute = timed_out && silent && self.settings.group_size > LARGE_GROUP;
+        let stands_out = mute || server.failing > FAILING.max(FAILING_MORE * self.mood.failing);
         if !earlier && (dead || (failed && (stands_out || server.ejected.is_some()))) {
             self.eject(i);
         }
@@ -233,13 +236,25 @@
 
     /// Takes a server out until a trial or probe succeeds.
     pub(super) fn eject(&mut self, i: usize) {
-        let span = (EJECTION << self.servers[i].ejections.min(6)).min(EJECTION_LONGEST);
+        // Where less time passes than to the node's next request for it, an ejection changes nothing.
+        let gap = match self.settings.group_size > LARGE_GROUP {
+            true => self.servers.len() as f64 * self.window / self.mood.sends.max(1.0) * 1e6,
+            false => 0.0,
+        } as Micros;
+        let span = EJECTION.max(gap) << self.servers[i].ejections.min(6);
+        let span = span.min(EJECTION_LONGEST.max(gap));
         let until = self.now + self.jitter(span);
         let server = &mut self.servers[i];
         (server.ejected, server.trial, server.out_since) = (Some(until), false, self.now);
         server.ejections += 1;
     }
 
+    /// Whether probes try ejected servers. A jammed one answers them, so in a large group, where most of those
+    /// that are out are jammed, a request that may be repeated tries it.
+    pub(super) fn probes(&self) -> bool {
+        self.settings.may_probe && self.settings.group_size <= LARGE_GROUP
+    }
+
     pub(super) fn on_probed(&mut self, id: ServerId, outcome: Outcome) {
         match self.index.get(&id) {
             Some(&i) if outcome == Outcome::Ok => self.servers[i].reinstate(),
--- a/src/brain/load.rs
+++ b/src/brain/load.rs
@@ -81,6 +81,7 @@
             self.mood.serves = self.mood.serves.max(serves);
         }
         let pace = COLD_CARE * self.settings.fall_multiple * self.mood.serves.max(serves) / 10.0;
+        let probes = self.probes();
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             if !server.ready {
@@ -111,7 +112,7 @@
             match server.ejected {
                 Some(until) => {
                     ejected += size;
-                    if self.settings.may_probe && self.now >= until && !server.trial {
+                    if probes && self.now >= until && !server.trial {
                         server.trial = true;
                         out.push(Action::Probe(server.member.server));
                     }
--- a/src/brain/route.rs
+++ b/src/brain/route.rs
@@ -88,7 +88,7 @@
                 break;
             }
             let due = server.ejected.is_some_and(|until| self.now >= until && !server.trial);
-            if due && repeatable && !self.settings.may_probe && chosen.is_empty() {
+            if due && repeatable && !self.probes() && chosen.is_empty() {
                 return Some(owner as usize);
             }
             let share = self.share(server);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -292,6 +292,48 @@
     assert!(sent_on(50) < 30, "{}", sent_on(50));
 }
 
+// Guards against feeding a jam for its whole length: 300 nodes that each need several time-outs in a row send
+// a jammed server its full part until it is over, as each of them asks it once in seconds.
+#[test]
+fn in_a_large_group_one_silence_ejects_until_a_request_tries_the_server() {
+    // A node that sends 20 requests a second, and its server for a key that has just timed out.
+    let after_silence = |group_size: u32| {
+        let settings = Settings { group_size, may_probe: true, ..settings() };
+        let mut node = Node::new(settings, (0..60).map(member).collect());
+        for n in 0..200 {
+            let server = node.place(n, SAFE, n);
+            node.close(n, 0, server, Outcome::Ok);
+            node.pass(if n % 2 == 0 { 100_000 } else { 0 });
+        }
+        let jammed = node.place(1_000, UNSAFE, 5);
+        node.now += 300_000;
+        node.close_after(1_000, 0, jammed, Outcome::Timeout, 300_000);
+        (node, jammed)
+    };
+    let (mut node, jammed) = after_silence(2);
+    assert_eq!(node.place(2_000, SAFE, 5), jammed, "with two nodes one time-out is no proof");
+
+    let (mut node, jammed) = after_silence(300);
+    let other = node.place(2_000, SAFE, 5);
+    assert_ne!(other, jammed);
+    node.close(2_000, 0, other, Outcome::Ok);
+    let mut probes = 0;
+    let mut look = |node: &mut Node, span: Micros| {
+        for _ in 0..span / 100_000 {
+            node.now += 100_000;
+            let actions = node.event(Event::Timer(TimerId(1)));
+            probes += actions.iter().filter(|action| matches!(action, Action::Probe(_))).count();
+        }
+    };
+    // Its next request for one of 60 servers is about three seconds away: for half of that at the least.
+    look(&mut node, SECOND);
+    assert_ne!(node.place(3_000, SAFE, 5), jammed);
+    look(&mut node, 10 * SECOND);
+    assert_ne!(node.place(3_001, UNSAFE, 5), jammed, "what must not run twice does not try it");
+    assert_eq!(node.place(3_002, SAFE, 5), jammed);
+    assert_eq!(probes, 0, "a jammed server answers probes");
+}
+
 // Guards against refusing long after the trouble: the limit comes back by itself.
 #[test]
 fn the_limit_recovers() {
