--- a/src/brain/health.rs
+++ b/src/brain/health.rs
@@ -249,7 +249,7 @@
         server.ejections += 1;
     }
 
-    /// Whether probes try ejected servers. A jammed one answers them, so in a large group, where most of those
+    /// Whether probes try ejected servers. A jammed one answers them, so in a large group, where most
     /// that are out are jammed, a request that may be repeated tries it.
     pub(super) fn probes(&self) -> bool {
         self.settings.may_probe && self.settings.group_size <= LARGE_GROUP
