--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -9,7 +9,7 @@
 use woodgap::findings::{Effect, Finding};
 
 use crate::args::CheckConfig;
-use crate::Verdict;
+use crate::{print_json, Verdict};
 
 /// A finding, as `--json` prints it.
 #[derive(Serialize)]
@@ -46,8 +46,7 @@
             found: &finding.found,
             severity: severity(finding),
         });
-        serde_json::to_writer_pretty(&mut *out, &rows.collect::<Vec<_>>())?;
-        writeln!(out)?;
+        print_json(out, &rows.collect::<Vec<_>>())?;
     } else {
         for finding in findings.all() {
             writeln!(out, "{}: {finding}", severity(finding))?;
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::args::Fleet as Request;
-use crate::{Verdict, WrongUse};
+use crate::{print_json, Verdict, WrongUse};
 
 type Counts = BTreeMap<String, u64>;
 
@@ -51,8 +51,7 @@
     let mean = report.count("requests") as f64 / report.nodes as f64;
     report.busiest = if mean > 0.0 { most as f64 / mean } else { 0.0 };
     if request.json {
-        serde_json::to_writer_pretty(&mut *out, &report)?;
-        writeln!(out)?;
+        print_json(out, &report)?;
     } else {
         report.print(out)?;
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -37,6 +37,12 @@
 
 impl std::error::Error for WrongUse {}
 
+/// Prints what `--json` asks for.
+fn print_json(out: &mut impl Write, report: &impl serde::Serialize) -> anyhow::Result<()> {
+    serde_json::to_writer_pretty(&mut *out, report).map_err(io::Error::from)?;
+    Ok(writeln!(out)?)
+}
+
 fn run(args: Args, out: &mut impl Write) -> anyhow::Result<Verdict> {
     let settings = Settings::load(&args.settings)?;
     logging::start(&settings)?;
--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -13,7 +13,7 @@
 use woodgap::{ServerId, ServerState};
 
 use crate::args::Table as Request;
-use crate::{Verdict, WrongUse};
+use crate::{print_json, Verdict, WrongUse};
 
 /// The longest input that is read: a list of some hundred thousand servers.
 const LONGEST_INPUT: u64 = 64 << 20;
@@ -73,8 +73,7 @@
     anyhow::ensure!(!fleet.is_empty(), "no server is in service");
     let report = Report::new(&fleet, before.as_ref());
     if request.json {
-        serde_json::to_writer_pretty(&mut *out, &report)?;
-        writeln!(out)?;
+        print_json(out, &report)?;
     } else {
         report.print(out)?;
     }
@@ -96,10 +95,10 @@
     let (list, at) = value.get("known").map_or((&value, "list"), |known| (known, "known"));
     let mut findings = Findings::default();
     let list = List::read(list, at, &mut findings);
+    let list = list.ok_or_else(|| WrongUse(format!("{name}: {findings}")))?;
     for finding in findings.all() {
         tracing::warn!(file = %name, "left out: {finding}");
     }
-    let list = list.ok_or_else(|| WrongUse(format!("{name}: {findings}")))?;
     let serving = list.entries.into_iter().filter(|entry| entry.state == ServerState::InService);
     let size = |size: f64| if size.is_finite() && size > 0.0 { size } else { 1.0 };
     Ok(serving.map(|entry| (entry.id, size(entry.size))).collect())
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -213,16 +213,14 @@
 
 #[test]
 fn a_reader_that_goes_away_is_no_failure() {
-    let mut child = command(&["table", "--servers", "16381"])
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut output = child.stdout.take().unwrap();
-    output.read_exact(&mut [0; 16]).unwrap();
-    drop(output);
-    let (code, _, err) = ended(&child.wait_with_output().unwrap());
-    assert_eq!((code, err.as_str()), (0, ""));
+    for args in [&["table", "--servers", "16381"][..], &["table", "--servers", "16381", "--json"]] {
+        let mut child = command(args).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+        let mut output = child.stdout.take().unwrap();
+        output.read_exact(&mut [0; 16]).unwrap();
+        drop(output);
+        let (code, _, err) = ended(&child.wait_with_output().unwrap());
+        assert_eq!((code, err.as_str()), (0, ""), "{args:?}");
+    }
 }
 
 #[test]
