Draw a hot key's slot evenly and estimate its part from the first request on

Lines at fault: `route` met the owners of a hot key by their slots and drew among them by size, so size counted twice; `key_share` held a count less its root over 6 s, which most nodes, with 11 requests a second, never passed. Now a key has as many successive slots as it needs and a request starts at one of them, and its part is the mean under the usual law of keys.

--- a/src/brain/load.rs
+++ b/src/brain/load.rs
@@ -56,8 +56,9 @@
     pub(super) lately: f64,
     /// The most that a size of one has been seen to serve in a second.
     pub(super) serves: f64,
-    /// Requests taken, attempts sent and attempts served: fading counts.
+    /// Requests taken, those of them with a key, attempts sent and attempts served: fading counts.
     pub(super) taken: f64,
+    pub(super) keyed: f64,
     pub(super) sends: f64,
     pub(super) served: f64,
 }
@@ -138,11 +139,7 @@
         self.mood.sends *= HOT_KEEP;
         self.mood.served *= HOT_KEEP;
         self.window = self.window * HOT_KEEP + SWEEP as f64 / 1e6;
-        for hot in &mut self.hot {
-            hot.count *= HOT_KEEP;
-            hot.error *= HOT_KEEP;
-        }
-        self.hot.retain(|h| h.count > 0.3);
+        self.forget_keys();
         let rates = self.norms.iter_mut().flat_map(|n| &mut n.rates);
         rates.chain(&mut self.tenant_rates).for_each(|rate| *rate *= HOT_KEEP);
     }
--- a/src/brain/route.rs
+++ b/src/brain/route.rs
@@ -5,12 +5,19 @@
 /// The most owners that one walk looks at, and the most slots it passes on its way.
 const WALK_OWNERS: usize = 64;
 const WALK_SLOTS: usize = 1_024;
-/// A key may bring an owner this multiple of a server's mean load before it is spread.
-const HOT_LOAD: f64 = 0.35;
-/// Keys counted by a node, and what each sweep keeps of all counts of traffic.
-const HOT_KEYS: usize = 128;
+/// What one slot carries of a single key, in parts of a server's mean load. Less spreads more keys, which
+/// cost more where a server has not met them; more leaves a server's load to the chance of a few hot keys.
+const HOT_LOAD: f64 = 0.1;
+/// Keys counted by a node, and what each sweep keeps of their counts: 10 s hold most of them. Longer tells
+/// more keys from chance, and sees one that turns hot later.
+const HOT_KEYS: usize = 512;
+const KEY_KEEP: f64 = 0.99;
+/// What chance adds to a key's count: see `Balancer::key_share`. A node of a small group sees enough itself
+/// to wait for this many requests.
+const CHANCE: f64 = 0.8;
+const HOT_LEAST: f64 = 100.0;
+/// What each sweep keeps of all other counts of traffic.
 pub(super) const HOT_KEEP: f64 = 0.984;
-const HOT_LEAST: f64 = 20.0;
 
 /// A server overflows above this multiple of the mean in flight, plus this many.
 const OVERFLOW_MULTIPLE: f64 = 2.0;
@@ -59,20 +66,21 @@
         held > mean + OVERFLOW_MORE && held > OVERFLOW_MULTIPLE * mean
     }
 
-    /// The walk. From the key's slot on, the first owner that carries the slot it is met on and
-    /// is not overfull; for a key hotter than one owner, one of just as many successive owners
-    /// as carry it. Where none qualifies, the first warm one that may be used at all.
+    /// The walk. From the key's slot on, the first owner that carries the slot it is met on and is not
+    /// overfull. A key hotter than one slot may carry has as many successive ones, and each request starts
+    /// at one of them by chance: so an owner gets what its slots are to all. Where none qualifies, the first
+    /// warm one that may be used at all.
     pub(super) fn route(&mut self, id: RequestId) -> Option<usize> {
         self.refresh_table();
         let pending = &self.requests[&id];
-        let mut need = self.key_share(pending.key);
+        let parts = (self.key_share(pending.key) * self.servers.len() as f64 / HOT_LOAD).round() as usize;
+        let start = pending.slot + self.rng.usize(0..parts.clamp(1, WALK_SLOTS));
         let repeatable = self.settings.classes[pending.class].semantics != Semantics::Unsafe;
         let mut seen: Vec<u32> = Vec::with_capacity(8);
-        let mut chosen: Vec<(usize, f64)> = Vec::new();
         let mut fallback = None;
         let slots = if pending.attempts.is_empty() { WALK_SLOTS } else { TABLE_SLOTS };
         for step in 0..slots.min(self.table.len()) {
-            let slot = (pending.slot + step) % TABLE_SLOTS;
+            let slot = (start + step) % TABLE_SLOTS;
             let owner = self.table[slot];
             if seen.contains(&owner) {
                 continue;
@@ -88,28 +96,16 @@
                 break;
             }
             let due = server.ejected.is_some_and(|until| self.now >= until && !server.trial);
-            if due && repeatable && !self.probes() && chosen.is_empty() {
+            if due && repeatable && !self.probes() {
                 return Some(owner as usize);
             }
             let share = self.share(server);
-            if slot_level(slot) > share || self.overfull(server) {
-                fallback = fallback.or((share >= FALLBACK_SHARE).then_some(owner as usize));
-                continue;
-            }
-            let carries = share * server.member.size / self.size_total;
-            chosen.push((owner as usize, carries));
-            need -= HOT_LOAD * carries;
-            if need <= 0.0 {
-                break;
+            if slot_level(slot) <= share && !self.overfull(server) {
+                return Some(owner as usize);
             }
+            fallback = fallback.or((share >= FALLBACK_SHARE).then_some(owner as usize));
         }
-        let total: f64 = chosen.iter().map(|c| c.1).sum();
-        let mut at = if chosen.len() > 1 { self.rng.f64() * total } else { 0.0 };
-        let pick = chosen.iter().find(|c| {
-            at -= c.1;
-            at <= 0.0
-        });
-        pick.or(chosen.last()).map(|c| c.0).or(fallback)
+        fallback
     }
 
     /// The slot of a request: its key's, or for a keyless one the better of two random ones.
@@ -130,6 +126,7 @@
     // Hot keys: bounded counts of this node's own traffic, which is a sample of the fleet's.
 
     pub(super) fn count_key(&mut self, key: Key) {
+        self.mood.keyed += 1.0;
         if let Some(hot) = self.hot.iter_mut().find(|h| h.key == key) {
             hot.count += 1.0;
         } else if self.hot.len() < HOT_KEYS {
@@ -139,17 +136,23 @@
         }
     }
 
-    /// A key's part of all traffic. Near a large group's start each key counts as hot until traffic tells:
-    /// all nodes' first sends of a hot key would go to one owner, and crowd it before any of them learns.
-    /// Half a request less, so that one met once is not hot; with few
-    /// requests counted a second one is enough, as spreading costs nothing while memories are cold.
+    /// A key's part of all traffic. Few keys are hot and many are rare: keys of ten times the rank have
+    /// about as much traffic together. Where that holds, a key met c times in n has on average (c - 1) / n of
+    /// it if c is above one, and about 0.2 / n if it is one: a request less 0.8 fits both. So near the start
+    /// of a large group each key counts as hot until traffic tells: all first sends would crowd its owner.
     fn key_share(&self, key: Option<Key>) -> f64 {
+        let least = if self.settings.group_size > LARGE_GROUP { 1.0 } else { HOT_LEAST };
         let hot = key.and_then(|key| self.hot.iter().find(|h| h.key == key));
-        let count = hot.map_or(0.0, |h| h.count - h.error);
-        let met = (count - count.sqrt()).max(0.0) / self.mood.taken.max(HOT_LEAST);
-        match self.settings.group_size > LARGE_GROUP && self.mood.taken < HOT_LEAST {
-            true => met.max(count / (self.mood.taken + HOT_LEAST)),
-            false => met,
+        hot.map_or(0.0, |h| h.count - h.error - CHANCE).max(0.0) / self.mood.keyed.max(least)
+    }
+
+    /// Lets the counts of keys fade.
+    pub(super) fn forget_keys(&mut self) {
+        self.mood.keyed *= KEY_KEEP;
+        for hot in &mut self.hot {
+            hot.count *= KEY_KEEP;
+            hot.error *= KEY_KEEP;
         }
+        self.hot.retain(|h| h.count > 0.3);
     }
 }
