Measure the list's refusal by the node's usual rate, and let silence cut the limit later

A tenth of the nodes gets half of all traffic.

Lines at fault: `beyond_capacity` compared a node's whole rate with its even part of the quotas, so that a busy node refused five sixths while servers were cold; `FEW_OUT` took a fifth of the servers falling silent for more work than all can do, where the quotas leave a third to spare.

The two tests fail with the old lines.

--- a/src/brain/load.rs
+++ b/src/brain/load.rs
@@ -8,8 +8,9 @@
 const LIMIT_REGAIN: f64 = 1.02;
 /// Fewer late answers than this part are no sign of more work than the fleet can do.
 pub(super) const LATE_PART: f64 = 0.15;
-/// With no more than this part of the fleet ejected, the others have room for its work.
-pub(super) const FEW_OUT: f64 = 0.2;
+/// With no more than this part of the fleet ejected, the others have room for its work: fleets are sized so
+/// that a zone or a third of them may be lost. Lower refuses what others could do; higher feeds a true jam.
+pub(super) const FEW_OUT: f64 = 0.35;
 const LEAST_LIMIT: f64 = 0.5;
 /// Part of the limit that requests of the lowest worth leave free for others.
 const RESERVE: f64 = 0.3;
@@ -18,6 +19,8 @@
 const LEVELS: f64 = 0.5;
 /// Seconds after which the counts of traffic hold enough to go by their highest.
 const SETTLED: f64 = 3.0;
+/// What a sweep takes of the present rate into the usual one: 20 s, longer than servers take to warm up.
+const USUAL_STEP: f64 = 0.005;
 
 /// Answer times of a class, and how much of the traffic it is.
 pub(super) struct Norm {
@@ -43,6 +46,8 @@
     pub(super) limit: f64,
     /// What is in flight, smoothed.
     pub(super) usual: f64,
+    /// Requests that it takes in a second, smoothed over longer than a loss of servers and its cure last.
+    pub(super) usual_rate: f64,
     /// Part of the fleet that is ejected.
     pub(super) ejected: f64,
     /// So much is ejected that ejections are ignored.
@@ -126,6 +131,9 @@
         let lately = self.mood.lately + back * (told - self.mood.lately);
         (self.mood.told, self.mood.full) = (told, self.mood.full.max(told));
         self.mood.lately = lately.max(told);
+        let rate = self.mood.taken / self.window;
+        let step = if self.window > SETTLED { USUAL_STEP } else { 1.0 };
+        self.mood.usual_rate += step * (rate - self.mood.usual_rate);
         self.mood.limit *= LIMIT_REGAIN;
         self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
         self.mood.ejected = ejected / total.max(f64::MIN_POSITIVE);
@@ -170,16 +178,16 @@
     /// Whether a request of this slot lies beyond what a large group's servers can do by the list, where some
     /// of them are gone or cold. The quotas tell what all of them are there for. A node's own signs of a jam
     /// come when the servers are in it, and a jam outlasts its cause. Keys that move meet servers without
-    /// memory, which do more for them: what has lately gone counts twice. Refuses too much where the quotas
-    /// lie far below what the servers can do.
+    /// memory, which do more for them: what has lately gone counts twice. A front may bring a node far more
+    /// than its even part: that one carries the same part of what it usually gets. Refuses too much where the
+    /// servers can do far more than that.
     pub(super) fn beyond_capacity(&self, slot: usize) -> bool {
         let quota: f64 = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s).sum();
-        let carried = quota / f64::from(self.settings.group_size)
-            * (self.mood.told / self.mood.full.max(1.0))
-            * (self.mood.told / self.mood.lately.max(1.0));
+        let even = quota / f64::from(self.settings.group_size) * (self.mood.told / self.mood.lately.max(1.0));
+        let carried = even.max(self.mood.usual_rate) * (self.mood.told / self.mood.full.max(1.0));
         let rate = self.mood.taken / self.window;
         let short = self.settings.group_size > LARGE_GROUP && self.mood.told < self.mood.full;
-        short && carried > 0.0 && rate > carried && slot_level(slot) > carried / rate
+        short && quota > 0.0 && rate > carried && slot_level(slot) > carried / rate
     }
 
     /// Whether to refuse a new request: beyond the limit, by worth and by key.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -331,6 +331,9 @@
         (1000..1100).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count()
     };
     assert_eq!(sent_on(2), 100);
+    assert_eq!(sent_on(16), 100, "the others have room for a quarter more");
+    assert_eq!(sent_on(2), 100);
+    assert_eq!(sent_on(27), 100, "silence of fewer than half of them is no sign against the others");
     assert!(sent_on(50) < 30, "{}", sent_on(50));
 }
 
@@ -500,6 +503,33 @@
     assert_eq!(refused_part(100, 12, 30 * SECOND), 0);
 }
 
+// Guards against a node that refuses most of what a front brings it where a few servers go: one with five times
+// its even part of the traffic loses by the same part as the others.
+#[test]
+fn a_node_with_more_than_its_even_part_refuses_only_what_the_lost_servers_did() {
+    let tenants = vec![Tenant { quota_per_s: 2_000.0 }];
+    let settings = Settings { group_size: 100, tenants, ..settings() };
+    let mut node = Node::new(settings, (0..60).map(member).collect());
+    let mut n = 0;
+    let mut second = |node: &mut Node| {
+        let mut refusals = 0;
+        for _ in 0..100 {
+            n += 1;
+            match sent(&node.ask(n, SAFE, n)) {
+                Some(server) => drop(node.close(n, 0, server, Outcome::Ok)),
+                None => refusals += 1,
+            }
+            node.pass(if n % 10 == 0 { 100_000 } else { 0 });
+        }
+        refusals
+    };
+    (0..10).for_each(|_| assert_eq!(second(&mut node), 0));
+    node.sync(SyncKind::Full, (12..60).map(member).collect());
+    node.pass(100_000);
+    let lost: u32 = (0..3).map(|_| second(&mut node)).sum();
+    assert!((30..100).contains(&lost), "{lost} of 300 with a fifth of the servers gone");
+}
+
 fn in_order() -> Settings {
     let mut settings = Settings { settle_after_doubt: 200_000, ..settings() };
     settings.classes[UNSAFE].in_order = true;
