--- a/src/brain/route.rs
+++ b/src/brain/route.rs
@@ -5,9 +5,11 @@
 /// The most owners that one walk looks at, and the most slots it passes on its way.
 const WALK_OWNERS: usize = 64;
 const WALK_SLOTS: usize = 1_024;
-/// What one slot carries of a single key, in parts of a server's mean load. Less spreads more keys, which
-/// cost more where a server has not met them; more leaves a server's load to the chance of a few hot keys.
+/// What one slot carries of a single key, in parts of a server's mean load, in a large and in a small group.
+/// Less spreads more keys, which cost more where a server has not met them; more leaves a server's load to
+/// the chance of a few hot keys: with few servers each has many, and a key keeps its one owner.
 const HOT_LOAD: f64 = 0.1;
+const HOT_LOAD_SMALL: f64 = 0.35;
 /// Keys counted by a node, and what each sweep keeps of their counts: 10 s hold most of them. Longer tells
 /// more keys from chance, and sees one that turns hot later.
 const HOT_KEYS: usize = 512;
@@ -73,7 +75,8 @@
     pub(super) fn route(&mut self, id: RequestId) -> Option<usize> {
         self.refresh_table();
         let pending = &self.requests[&id];
-        let parts = (self.key_share(pending.key) * self.servers.len() as f64 / HOT_LOAD).round() as usize;
+        let slot_load = if self.settings.group_size > LARGE_GROUP { HOT_LOAD } else { HOT_LOAD_SMALL };
+        let parts = (self.key_share(pending.key) * self.servers.len() as f64 / slot_load).round() as usize;
         let start = pending.slot + self.rng.usize(0..parts.clamp(1, WALK_SLOTS));
         let repeatable = self.settings.classes[pending.class].semantics != Semantics::Unsafe;
         let mut seen: Vec<u32> = Vec::with_capacity(8);
