--- a/src/brain/load.rs
+++ b/src/brain/load.rs
@@ -8,8 +8,9 @@
 const LIMIT_REGAIN: f64 = 1.02;
 /// Fewer late answers than this part are no sign of more work than the fleet can do.
 pub(super) const LATE_PART: f64 = 0.15;
-/// With no more than this part of the fleet ejected, the others have room for its work: fleets are sized so
-/// that a zone or a third of them may be lost. Lower refuses what others could do; higher feeds a true jam.
+/// With no more than this part of the fleet ejected, the others have room for its work. No setting tells how
+/// much they have: the figure rests on plays (docs/routing.md). Lower refuses what others could do; higher
+/// feeds a true jam.
 pub(super) const FEW_OUT: f64 = 0.35;
 const LEAST_LIMIT: f64 = 0.5;
 /// Part of the limit that requests of the lowest worth leave free for others.
