Open a silent watch anew at a pace, so that the list is acted on within 6 s

The node waited 3.5 s for silence, paused 0.5 s, then gave the connection and the head 3.5 s each: a first try that is swallowed took more than 6 s together (discovery.rs, SILENCE and AGAIN; where the list is asked for, brain/list.rs doubled the pause up to half of ask_within). A list indented over lines ended the watch: each line was read as JSON by itself (Lines::next).

Change: silence is noticed 0.5 s after the line that is due (PROTOCOL: every 2 s); tries follow one another at half of the settings' time for drains, each beside those still out, the oldest kept for services that let calls wait; the first that brings anything is the watch. After silence the whole list is asked for. Objects are read one after the other, however they are split or indented.

--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::counts::Count;
-use crate::discovery::{watch, News};
+use crate::discovery::watch;
 use crate::exchange::Call;
 use crate::peers::Peers;
 use crate::servers::{Ended, Servers, TIDY};
@@ -30,12 +30,6 @@
 const OVERDUE: Duration = Duration::from_millis(5);
 /// The counts are written at each so many tidyings.
 const COUNTS_EVERY: u64 = 2;
-/// Pause before a watch that the module does not ask for is opened again.
-const AGAIN: Duration = Duration::from_millis(500);
-/// Pause before a watch at a new address is opened again, and how often that is done before it is
-/// left to the module: its pauses are longer than the time in which the change has to be known.
-const MOVED_AGAIN: Duration = Duration::from_millis(100);
-const MOVED_TRIES: u32 = 40;
 
 /// A final answer.
 pub enum Answer {
@@ -76,9 +70,10 @@
         ended: Ended,
         spent: Duration,
     },
+    /// A list that a watch brought.
     News {
         watch: u64,
-        news: News,
+        list: List,
     },
     Peer {
         from: u32,
@@ -113,7 +108,6 @@
     Timer(TimerId),
     Overdue(u64),
     Tidy,
-    Watch,
 }
 
 pub struct Driver {
@@ -132,8 +126,6 @@
     /// The number of the present watch, and its task.
     watch: u64,
     watching: Option<AbortOnDrop>,
-    /// Tries that a watch at a new address has left, until its first list.
-    moved: u32,
     tx: mpsc::UnboundedSender<Msg>,
     /// How often the connections were tidied.
     ticks: u64,
@@ -174,7 +166,6 @@
             revision: 0,
             watch: 0,
             watching: None,
-            moved: 0,
             tx,
             ticks: 0,
         }
@@ -218,9 +209,6 @@
                     self.count_line();
                 }
             }
-            // Unless one was opened meanwhile.
-            Due::Watch if self.watching.is_none() => self.subscribe(),
-            Due::Watch => {}
             Due::Overdue(id) => {
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
@@ -255,14 +243,14 @@
                 let spent = spent.as_micros() as Micros;
                 self.events.push_back(Event::Probed { server, outcome, spent, load });
             }
-            Msg::News { watch, news } if watch == self.watch => self.news(news),
+            Msg::News { watch, list } if watch == self.watch => self.news(&list),
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
             Msg::Discovery(addr) if addr == self.discovery => {}
             Msg::Discovery(addr) => {
                 // The list stays until the new place has told its own, whole: its revisions may count
                 // other changes.
-                (self.discovery, self.revision, self.moved) = (addr, 0, MOVED_TRIES);
+                (self.discovery, self.revision, self.watching) = (addr, 0, None);
                 self.subscribe();
             }
         }
@@ -333,30 +321,11 @@
         self.forget(id);
     }
 
-    fn news(&mut self, news: News) {
-        match news {
-            News::List(list) => {
-                self.revision = list.revision.unwrap_or(self.revision);
-                self.moved = 0;
-                let (kind, members) = self.servers.apply(&list);
-                tracing::debug!(revision = self.revision, ?kind, entries = members.len(), "list");
-                self.events.push_back(Event::Sync { kind, members });
-            }
-            News::Failed => {
-                self.watching = None;
-                if self.moved > 0 {
-                    self.moved -= 1;
-                    self.due.insert(Due::Watch, MOVED_AGAIN);
-                    return;
-                }
-                match self.mode {
-                    Discovery::Ask => {
-                        self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() })
-                    }
-                    Discovery::Push => drop(self.due.insert(Due::Watch, AGAIN)),
-                }
-            }
-        }
+    fn news(&mut self, list: &List) {
+        self.revision = list.revision.unwrap_or(self.revision);
+        let (kind, members) = self.servers.apply(list);
+        tracing::debug!(revision = self.revision, ?kind, entries = members.len(), "list");
+        self.events.push_back(Event::Sync { kind, members });
     }
 
     /// Hands the module what has come and carries out what it says, until all is quiet.
@@ -458,13 +427,16 @@
         tracing::debug!(target: "woodgap::counts", counts = %self.servers.counts, "counts");
     }
 
-    /// Opens a watch in place of the one there may be.
+    /// Opens a watch, unless there is one: it is opened anew by itself for as long as it is held.
     fn subscribe(&mut self) {
+        if self.watching.is_some() {
+            return;
+        }
         self.watch += 1;
-        let (number, tx) = (self.watch, self.tx.clone());
+        let (number, tx, grace) = (self.watch, self.tx.clone(), self.servers.drain_grace());
         let (addr, revision) = (self.discovery, self.revision);
         self.watching = Some(AbortOnDrop::spawn(async move {
-            watch(addr, revision, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
+            watch(addr, revision, grace, |list| drop(tx.send(Msg::News { watch: number, list }))).await;
         }));
     }
 }
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -157,6 +157,11 @@
         (!late && !entry.replaced).then_some((entry.addr, entry.epoch))
     }
 
+    /// The time in which sends to a draining server have to cease.
+    pub fn drain_grace(&self) -> Duration {
+        self.figures.drain_grace
+    }
+
     /// What discovery calls a server.
     pub fn name(&self, server: ServerId) -> Option<String> {
         self.names.borrow().get(&server.0).cloned()
--- /dev/null
+++ b/tests/node/main.rs
@@ -0,0 +1,8 @@
+//! The real node over loopback sockets, between servers and a discovery of the test's own.
+
+mod links;
+mod list;
+mod log;
+mod requests;
+mod restart;
+mod site;
--- /dev/null
+++ b/tests/node/requests.rs
@@ -0,0 +1,195 @@
+//! A request and its answer.
+
+use std::io::{BufReader, Write};
+
+use crate::site::*;
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let site = Site::new(2);
+    assert_eq!(site.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    let answer = site.ask("put", "abc");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"abc".as_slice()));
+    let seen = site.requests();
+    let (_, request) = &seen[0];
+    assert_eq!(seen.len(), 1);
+    assert_eq!(request.first, "POST /api?key=7f3a&x=1 HTTP/1.1\r\n");
+    assert_eq!((request.header("x-txn"), request.header("idempotency-key")), ("abc", "77"));
+    assert_eq!(request.body, b"hello");
+    assert!((1..60_000).contains(&request.header("x-remaining-ms").parse::<u64>().unwrap()));
+}
+
+// Servers tell requests apart by their ids: a second one under an open id could run an effect twice,
+// or take the first one's answer.
+#[test]
+fn a_request_under_an_open_id_is_turned_away() {
+    let site = Site::new(1);
+    site.all_do(Does::Hold);
+    let mut first = site.dial();
+    first.write_all(&request("pay", "same", 60_000)).unwrap();
+    assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
+    assert_eq!(site.ask("pay", "same").status(), 409);
+    assert_eq!(site.ask("look", "same").status(), 409);
+    assert!(site.requests().is_empty());
+    site.all_do(Does::Serve);
+    let answer = Message::read(&mut BufReader::new(first)).unwrap();
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"same".as_slice()));
+    assert_eq!(site.ask("pay", "same").status(), 200);
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_neither_repeated_nor_refused() {
+    for does in [
+        Does::Break,
+        Does::BreakHalfway,
+        Does::Answer("500 Oops"),
+        Does::Answer("503 Busy"),
+        Does::Answer("504 Late"),
+    ] {
+        let site = Site::new(3);
+        site.all_do(does);
+        let status = site.ask("pay", "1").status();
+        assert!(![200, 429, 503].contains(&status), "{status}");
+        assert_eq!(site.requests().len(), 1);
+    }
+}
+
+#[test]
+fn a_safe_request_is_served_after_a_broken_answer() {
+    let site = Site::new(2);
+    site.all_do(Does::BreakHalfway);
+    let mut stream = site.dial();
+    *site.does[0].lock().unwrap() = Does::Serve;
+    for n in 0..8 {
+        let id = format!("{n}");
+        stream.write_all(&request("look", &id, 60_000)).unwrap();
+        let answer = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+        assert_eq!((answer.status(), answer.body), (200, id.into_bytes()));
+    }
+}
+
+// What can't be the answer must not reach the client as one, nor hold its request until the deadline.
+#[test]
+fn a_spoilt_answer_ends_its_attempt_alone() {
+    let spoilt: [(&str, usize); 10] = [
+        ("\u{1}\u{2} noise\r\n\r\n", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 1),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 1),
+        ("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", 1),
+        ("HTTP/1.1 200 OK\r\nX-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", 2_000),
+        ("HTTP/1.1 100 Continue\r\n\r\n", 20_000),
+    ];
+    for (text, times) in spoilt {
+        let site = Site::new(2);
+        site.all_do(Does::Raw(text, times));
+        let status = site.ask("pay", "1").status();
+        assert!(![200, 429, 503].contains(&status), "{text}: {status}");
+        assert_eq!(site.requests().len(), 1, "{text}");
+        site.all_do(Does::Serve);
+        until("served again", || site.ask("look", "2").body == b"2");
+    }
+}
+
+#[test]
+fn what_comes_ahead_of_a_good_answer_or_with_it_does_no_harm() {
+    let site = Site::new(1);
+    let answer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n\
+        HTTP/1.1 200 OK\r\nX-Pressure: {\"queue\":\r\nContent-Length: 2\r\n\r\nok";
+    site.all_do(Does::Raw(answer, 1));
+    for n in 0..4 {
+        assert_eq!(site.ask("pay", &n.to_string()).body, b"ok");
+    }
+}
+
+// A second copy of an answer must never be taken for the answer to the next request.
+#[test]
+fn a_second_copy_answers_nobody() {
+    for later in [0, 1, 2, 4] {
+        let site = Site::new(1);
+        site.all_do(Does::ServeTwice(later));
+        for n in 0..20 {
+            let id = format!("{later}-{n}");
+            assert_eq!(site.ask("pay", &id).body, id.as_bytes());
+        }
+    }
+}
+
+#[test]
+fn an_unsafe_request_turned_away_unseen_is_refused_or_served_elsewhere() {
+    let site = Site::new(2);
+    site.all_do(Does::Answer("503 Full\r\nX-Turned-Away: 1"));
+    let answer = site.ask("pay", "1");
+    assert_eq!(answer.status(), 503);
+    site.all_do(Does::Serve);
+    until("served again", || site.ask("pay", "2").status() == 200);
+}
+
+#[test]
+fn a_request_is_answered_before_its_time_runs_out() {
+    let site = Site::new(2);
+    site.all_do(Does::Hang);
+    for class in ["look", "pay", "put"] {
+        let status = site.raw(&request(class, "1", 400)).status();
+        assert_ne!(status, 200);
+        // What may have run unsafely is not called harmless.
+        assert!(class != "pay" || ![429, 503].contains(&status), "{status}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let site = Site::new(2);
+    site.all_do(Does::Hang);
+    let mut stream = site.dial();
+    stream.write_all(&request("look", "1", 60_000)).unwrap();
+    assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
+    drop(stream);
+    assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Closed)));
+}
+
+#[test]
+fn odd_requests_get_plain_answers() {
+    let site = Site::new(1);
+    let with = |old: &str, new: &str| {
+        let text = String::from_utf8(request("pay", "1", 60_000)).unwrap();
+        assert!(text.contains(old));
+        site.raw(text.replace(old, new).as_bytes()).status()
+    };
+    assert_eq!(with("X-Lane: pay", "X-Lane: none"), 400);
+    assert_eq!(with("X-Org: acme", "X-Org: other"), 400);
+    assert_eq!(with("X-Txn: 1\r\n", ""), 400);
+    assert_eq!(with("X-Remaining-Ms: 60000", "X-Remaining-Ms: soon"), 400);
+    assert_eq!(with("X-Remaining-Ms: 60000", "X-Remaining-Ms: -1"), 400);
+    assert_eq!(with("X-Lane: pay", "X-Lane: put"), 400);
+    // What servers would take for another class, and what may be read in two ways.
+    assert_eq!(with("X-Lane: pay", "X-Lane: look"), 400);
+    assert_eq!(with("POST", "GET"), 400);
+    assert_eq!(with("X-Lane: pay", "X-Lane: pay\r\nIdempotency-Key: 5"), 400);
+    assert_eq!(with("Host: service.internal\r\n", ""), 400);
+    for twice in ["Host: other", "X-Txn: 2", "X-Lane: pay", "X-Remaining-Ms: 5", "X-Org: acme"] {
+        assert_eq!(with("X-Org: acme", &format!("X-Org: acme\r\n{twice}")), 400, "{twice}");
+    }
+    let hidden = "0\r\n\r\nPOST /api HTTP/1.1\r\n";
+    for framing in [
+        "Transfer-Encoding: chunked\r\nContent-Length: 26",
+        "Content-Length: 26\r\nTransfer-Encoding: chunked",
+    ] {
+        let text = String::from_utf8(request("pay", "1", 60_000)).unwrap();
+        let text = text.replace("Content-Length: 5\r\n\r\nhello", &format!("{framing}\r\n\r\n{hidden}"));
+        let answer = site.raw(text.as_bytes());
+        assert_eq!((answer.status(), answer.header("connection")), (411, "close"));
+    }
+    assert_eq!(with("Content-Length: 5", "Content-Length: -5"), 400);
+    assert_eq!(with("Content-Length: 5", "Content-Length: 5\r\nContent-Length: 6"), 400);
+    assert_eq!(with("/api?", "/other?"), 404);
+    assert_eq!(with("POST", "DELETE"), 405);
+    assert_eq!(with("Content-Length: 5", "Content-Length: 70000"), 413);
+    assert_eq!(with("X-Org: acme", &format!("X-Org: acme\r\nX-Long: {}", "a".repeat(40_000))), 431);
+    assert_eq!(with(" HTTP/1.1", " NONSENSE"), 400);
+    assert!(site.requests().is_empty());
+    assert_eq!(site.ask("pay", "2").status(), 200);
+}
