Say which revision each decision rests on, where the configuration asks for it

Need: told, held and acted on are different things; an audit of the fleet wants to know what a node acted on, from itself and from servers that need not trust it.

Change: with "audit": true each attempt carries X-Acted-On: NODE/PROCESS/REVISION, and twice a second the node tells its agent what its next decision rests on, the oldest that a request in flight still rests on, and decisions by revision, bounded. The agent's answer may say that the audit shut the node out: then it is not ready. The feature `faults`, in no build for service, makes a node that takes lists and does not act on them, or lies about it, for tests.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -27,6 +27,7 @@
 use crate::request::{drop_hop_headers, Fault, Head};
 use crate::servers::Servers;
 use crate::task::{Budget, Permit};
+use crate::witness::Witness;
 
 /// Most bytes and fields of a request's head.
 const LONGEST_HEAD: usize = 16 * 1024;
@@ -59,6 +60,8 @@
     /// Sockets of clients, of all, and of clients that are only told to go.
     budget: Rc<Budget>,
     overflow: Rc<Budget>,
+    /// Knows whether the audit shut the node out.
+    witness: Option<Rc<Witness>>,
     tx: mpsc::UnboundedSender<Msg>,
     next_id: Cell<u64>,
     /// Requests that hold memory: from their head to their answer.
@@ -81,6 +84,7 @@
         open_cap: usize,
         servers: Rc<Servers>,
         budgets: (Rc<Budget>, Rc<Budget>),
+        witness: Option<Rc<Witness>>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Rc<Self> {
         Rc::new(Clients {
@@ -90,6 +94,7 @@
             servers,
             budget: budgets.0,
             overflow: budgets.1,
+            witness,
             tx,
             next_id: Cell::new(1),
             held: Cell::new(0),
@@ -231,7 +236,8 @@
     async fn handle(&self, request: Request<Incoming>, body_by: Instant) -> (Response<Full<Bytes>>, bool) {
         match request.uri().path() {
             "/-/ready" if request.method() == Method::GET => {
-                let ready = !self.draining.get();
+                let out = self.witness.as_ref().is_some_and(|witness| witness.is_shut_out());
+                let ready = !self.draining.get() && !out;
                 (plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""), true)
             }
             "/api" => match self.call(request, body_by).await {
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -24,6 +24,7 @@
 use crate::peers::Peers;
 use crate::servers::{Ended, Servers, TIDY};
 use crate::task::AbortOnDrop;
+use crate::witness::{Decision, Witness};
 
 /// The module answers at the deadline it was given; what it has not answered this much later, the
 /// node answers, whatever the module does.
@@ -89,6 +90,8 @@
     sent: Instant,
     /// Ends the attempt and closes its connection.
     _task: AbortOnDrop,
+    /// What it rests on, where that is asked for.
+    _rests: Option<Decision>,
 }
 
 /// A request until it is answered and nothing of it is out.
@@ -126,6 +129,8 @@
     /// The number of the present watch, and its task.
     watch: u64,
     watching: Option<AbortOnDrop>,
+    /// Says what decisions rest on, where that is asked for.
+    witness: Option<Rc<Witness>>,
     tx: mpsc::UnboundedSender<Msg>,
     /// How often the connections were tidied.
     ticks: u64,
@@ -149,6 +154,7 @@
         config: &Config,
         servers: Rc<Servers>,
         peers: Option<Rc<Peers>>,
+        witness: Option<Rc<Witness>>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
@@ -166,6 +172,7 @@
             revision: 0,
             watch: 0,
             watching: None,
+            witness,
             tx,
             ticks: 0,
         }
@@ -173,7 +180,7 @@
 
     /// Starts the module with the list that the node last had.
     pub fn start(&mut self, known: &List) {
-        self.revision = known.revision.unwrap_or(0);
+        self.stand_on(known.revision.unwrap_or(0));
         let (_, members) = self.servers.apply(known);
         self.events.push_back(Event::Sync { kind: SyncKind::Cached, members });
         self.due.insert(Due::Tidy, TIDY);
@@ -322,12 +329,37 @@
     }
 
     fn news(&mut self, list: &List) {
-        self.revision = list.revision.unwrap_or(self.revision);
+        #[cfg(feature = "faults")]
+        if self.ignores(list) {
+            return;
+        }
+        self.stand_on(list.revision.unwrap_or(self.revision));
         let (kind, members) = self.servers.apply(list);
         tracing::debug!(revision = self.revision, ?kind, entries = members.len(), "list");
         self.events.push_back(Event::Sync { kind, members });
     }
 
+    /// Decisions rest on this revision from now on: what came is applied before the next one.
+    fn stand_on(&mut self, revision: u64) {
+        self.revision = revision;
+        if let Some(witness) = &self.witness {
+            witness.stands_on(revision);
+        }
+    }
+
+    /// A fault for tests, `WOODGAP_FAULT=stuck` or `liar`: it acts on no list but its first one, and says so or not.
+    #[cfg(feature = "faults")]
+    fn ignores(&self, list: &List) -> bool {
+        let fault = std::env::var("WOODGAP_FAULT").unwrap_or_default();
+        let ignores = self.revision > 0 && matches!(fault.as_str(), "stuck" | "liar");
+        if let (true, "liar", Some(witness), Some(revision)) =
+            (ignores, fault.as_str(), &self.witness, list.revision)
+        {
+            witness.claim(revision);
+        }
+        ignores
+    }
+
     /// Hands the module what has come and carries out what it says, until all is quiet.
     fn settle(&mut self) {
         let mut actions = Vec::new();
@@ -392,11 +424,12 @@
         };
         let (servers, call, tx) = (self.servers.clone(), held.call.clone(), self.tx.clone());
         let attempt = attempt as u32;
+        let (rests, acted_on) = self.witness.as_ref().map(Witness::decide).unzip();
         let task = AbortOnDrop::spawn(async move {
-            let ended = servers.attempt(server, &call, until).await;
+            let ended = servers.attempt(server, &call, until, acted_on.flatten().as_ref()).await;
             let _ = tx.send(Msg::Closed { id, attempt, ended });
         });
-        held.attempts.push(Some(Out { server, sent: now, _task: task }));
+        held.attempts.push(Some(Out { server, sent: now, _task: task, _rests: rests }));
         held.tried = true;
     }
 
--- a/src/bin/woodgap/exchange.rs
+++ b/src/bin/woodgap/exchange.rs
@@ -24,6 +24,7 @@
 use woodgap::Outcome;
 
 use crate::task::{AbortOnDrop, Permit};
+use crate::witness::HEADER;
 
 /// The longest body of a request or an answer.
 pub const LONGEST_BODY: usize = 64 * 1024;
@@ -233,13 +234,21 @@
 }
 
 /// The request as it goes to a server.
-pub fn request(call: &Call, addr: SocketAddr, until: Instant) -> Request<Full<Bytes>> {
+pub fn request(
+    call: &Call,
+    addr: SocketAddr,
+    until: Instant,
+    acted_on: Option<&HeaderValue>,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = call.headers.clone();
     let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
     let headers = request.headers_mut();
+    if let Some(acted_on) = acted_on {
+        headers.insert(HEADER, acted_on.clone());
+    }
     headers.insert("x-remaining-ms", HeaderValue::from(left.max(1)));
     if !headers.contains_key(HOST) {
         if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -15,6 +15,7 @@
 mod request;
 mod servers;
 mod task;
+mod witness;
 
 use std::error::Error;
 use std::process::ExitCode;
@@ -30,6 +31,7 @@
 use peers::Peers;
 use servers::Servers;
 use task::Budget;
+use witness::Witness;
 use woodgap::config::{self, Config, OVERFLOW, OWN_DESCRIPTORS};
 
 /// Clients' part of the sockets: requests in flight need as many to servers, and clients keep idle
@@ -51,7 +53,9 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let all = config.sockets.saturating_sub(OWN_DESCRIPTORS + OVERFLOW).max(2);
     let servers = Servers::new(config.figures.clone(), Budget::new(all));
-    let mut driver = Driver::new(&config, servers.clone(), peers.clone(), tx.clone());
+    let witness = config.audit.then(|| Witness::new(&config.name));
+    let agent = std::rc::Rc::new(std::cell::Cell::new(config.discovery));
+    let mut driver = Driver::new(&config, servers.clone(), peers.clone(), witness.clone(), tx.clone());
     driver.start(&config.known);
     let clients = Clients::new(
         config.settings,
@@ -59,8 +63,12 @@
         config.figures.open_cap.min((config.memory / HELD_BYTES).max(1)),
         servers,
         (Budget::new((all as f64 * CLIENTS) as usize), Budget::new(OVERFLOW)),
+        witness.clone(),
         tx.clone(),
     );
+    if let Some(witness) = witness {
+        spawn_local(witness.tell(agent.clone()));
+    }
     if let Some(peers) = peers {
         let tx = tx.clone();
         spawn_local(async move {
@@ -75,6 +83,7 @@
             match read(&path).and_then(|text| Ok(config::discovery_of(&text)?)) {
                 Ok(addr) => {
                     info!(discovery = %addr, "configuration read again");
+                    agent.set(addr);
                     let _ = tx.send(Msg::Discovery(addr));
                 }
                 Err(error) => warn!(%error, "configuration kept"),
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
 use tokio::time::{timeout_at, Instant};
 use woodgap::config::Figures;
@@ -251,7 +251,13 @@
     // Attempts.
 
     /// Sends a request and tells how it ended. Dropped, it closes its connection.
-    pub async fn attempt(&self, server: ServerId, call: &Call, until: Instant) -> Ended {
+    pub async fn attempt(
+        &self,
+        server: ServerId,
+        call: &Call,
+        until: Instant,
+        acted_on: Option<&HeaderValue>,
+    ) -> Ended {
         loop {
             let Some((addr, epoch)) = self.address(server) else { return Outcome::ConnectFailed.into() };
             let (mut link, reused) = match self.idle_link(server) {
@@ -283,7 +289,7 @@
                     return Outcome::ConnectFailed.into();
                 }
             }
-            match timeout_at(until, link.exchange(request(call, addr, until))).await {
+            match timeout_at(until, link.exchange(request(call, addr, until, acted_on))).await {
                 // One that began to answer is there; only the answer is no good.
                 Err(_) if link.heard() => return Outcome::Error.into(),
                 // A server that answered nothing may be gone: its idle connections would swallow
@@ -320,7 +326,7 @@
         self.counts.one(Count::Probes);
         // A probe waits like a request, but not like a patient one.
         let until = Instant::now() + self.figures.dial_timeout * 2;
-        self.attempt(server, &call, until).await
+        self.attempt(server, &call, until, None).await
     }
 }
 
@@ -392,14 +398,14 @@
             let (old, new) = (named("old").await, named("new").await);
             let (_, members) = servers.apply(&list(old, ServerState::InService, true));
             let server = members[0].server;
-            assert_eq!(servers.attempt(server, &call(), soon()).await.answer.unwrap().1, "old");
+            assert_eq!(servers.attempt(server, &call(), soon(), None).await.answer.unwrap().1, "old");
             tokio::time::sleep(SETTLE * 2).await;
             let link = servers.idle_link(server).expect("kept");
             servers.apply(&list(old, ServerState::Terminated, false));
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
+            assert_eq!(servers.attempt(server, &call(), soon(), None).await.outcome, Outcome::ConnectFailed);
             servers.apply(&list(new, ServerState::InService, false));
             servers.keep(server, link);
-            assert_eq!(servers.attempt(server, &call(), soon()).await.answer.unwrap().1, "new");
+            assert_eq!(servers.attempt(server, &call(), soon(), None).await.answer.unwrap().1, "new");
         };
         LocalSet::new().run_until(run).await;
     }
@@ -417,7 +423,7 @@
                 servers.keep(server, link);
             }
             let until = Instant::now() + Duration::from_millis(50);
-            assert_eq!(servers.attempt(server, &call(), until).await.outcome, Outcome::Timeout);
+            assert_eq!(servers.attempt(server, &call(), until, None).await.outcome, Outcome::Timeout);
             assert!(servers.idle_link(server).is_none());
         };
         LocalSet::new().run_until(run).await;
@@ -433,7 +439,7 @@
             servers.apply(&list(addr, ServerState::Terminating, false));
             tokio::time::pause();
             tokio::time::advance(Duration::from_millis(400)).await;
-            let ended = servers.attempt(server, &call(), soon()).await;
+            let ended = servers.attempt(server, &call(), soon(), None).await;
             assert_eq!(ended.outcome, Outcome::ConnectFailed);
         };
         LocalSet::new().run_until(run).await;
@@ -446,10 +452,10 @@
             let servers = servers(1);
             let addr = named("x").await;
             let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
+            assert_eq!(servers.attempt(server, &call(), soon(), None).await.outcome, Outcome::Ok);
             let permit = servers.permit().await;
             assert!(permit.is_some());
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
+            assert_eq!(servers.attempt(server, &call(), soon(), None).await.outcome, Outcome::ConnectFailed);
         };
         LocalSet::new().run_until(run).await;
     }
@@ -461,13 +467,13 @@
             let servers = servers(8);
             let addr = named("x").await;
             let old = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
-            assert_eq!(servers.attempt(old, &call(), soon()).await.outcome, Outcome::Ok);
+            assert_eq!(servers.attempt(old, &call(), soon(), None).await.outcome, Outcome::Ok);
             let mut change = list(addr, ServerState::InService, false);
             change.entries[0].id = "s-2".into();
             let new = servers.apply(&change).1[0].server;
             assert!(servers.idle_link(old).is_none());
-            assert_eq!(servers.attempt(old, &call(), soon()).await.outcome, Outcome::ConnectFailed);
-            assert_eq!(servers.attempt(new, &call(), soon()).await.outcome, Outcome::Ok);
+            assert_eq!(servers.attempt(old, &call(), soon(), None).await.outcome, Outcome::ConnectFailed);
+            assert_eq!(servers.attempt(new, &call(), soon(), None).await.outcome, Outcome::Ok);
         };
         LocalSet::new().run_until(run).await;
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -43,6 +43,8 @@
     pub peers: Vec<SocketAddr>,
     /// Where all of them are reached at once.
     pub peers_all: Option<SocketAddr>,
+    /// Whether it says on which version of the list it acts: to its servers, and to the agent at `discovery`.
+    pub audit: bool,
     /// The list as this node last had it.
     pub known: List,
     /// What the module is told.
@@ -81,7 +83,7 @@
         let (sockets, memory) = file.limits();
         let peer_listen = file.address("peer_listen", None, false);
         let peers_all = file.address("peers_all", None, false);
-        let (peers, seed, known) = (file.peers(), file.seed(), file.known());
+        let (peers, seed, known, audit) = (file.peers(), file.seed(), file.known(), file.audit());
         let mut findings = file.findings;
         let mut pairs = Pairs::default();
         flatten("", "settings", value.get("settings").unwrap_or(&Value::Null), &mut pairs);
@@ -104,6 +106,7 @@
             peer_listen,
             peers,
             peers_all,
+            audit,
             known,
             settings,
             names,
@@ -253,6 +256,17 @@
         }
     }
 
+    fn audit(&mut self) -> bool {
+        match self.get("audit") {
+            None => false,
+            Some(Value::Bool(audit)) => *audit,
+            Some(_) => {
+                self.refuse("audit", "true or false");
+                false
+            }
+        }
+    }
+
     fn known(&mut self) -> List {
         match self.get("known").cloned() {
             None => List::default(),
