--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -34,6 +34,18 @@
     Table(Table),
     /// Add up the counts in nodes' logs: where requests, attempts, connections and refusals went
     Fleet(Fleet),
+    /// Run a replica of the registry until it is stopped
+    #[command(
+        after_help = "Its configuration is the table [registry] of the file; deploy/registry.toml is one of a group \
+        of one.\n\nExample:\n  fircroft registry --config deploy/registry.toml"
+    )]
+    Registry,
+    /// Run the agent of one machine until it is stopped
+    #[command(
+        after_help = "Its configuration is the table [agent] of the file; deploy/agent.toml is one.\n\n\
+        Example:\n  fircroft agent --config deploy/agent.toml"
+    )]
+    Agent,
     /// Print a completion script for a shell
     #[command(
         after_help = "Example:\n  fircroft completions bash > ~/.local/share/bash-completion/completions/fircroft"
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod fleet;
 mod logging;
+mod process;
 mod settings;
 mod table;
 
@@ -51,6 +52,8 @@
         Command::Check(Check::Config(check)) => check::config(&check, out),
         Command::Fleet(request) => fleet::run(&request, out),
         Command::Table(request) => table::run(&request, out),
+        Command::Registry => process::registry(settings, out),
+        Command::Agent => process::agent(settings, out),
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Args::command(), "fircroft", &mut script);
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -30,18 +30,24 @@
     pub log_format: LogFormat,
     /// What is logged.
     pub log_filter: String,
+    /// A replica's own.
+    #[serde(default, skip_serializing)]
+    pub registry: Option<replica::Config>,
+    /// An agent's own.
+    #[serde(default, skip_serializing)]
+    pub agent: Option<agent::Config>,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { log_format: LogFormat::Auto, log_filter: "info".to_owned() }
+        Settings { log_format: LogFormat::Auto, log_filter: "info".to_owned(), registry: None, agent: None }
     }
 }
 
 /// The flags that set them.
 #[derive(Debug, clap::Args, Serialize)]
 pub struct Flags {
-    /// Configuration file in TOML, with the keys log_format and log_filter
+    /// Configuration file in TOML, with the keys log_format and log_filter and the tables registry and agent
     #[arg(long, global = true, env = "FIRCROFT_CONFIG", value_name = "FILE")]
     #[serde(skip)]
     config: Option<PathBuf>,
@@ -68,7 +74,7 @@
             figment = figment.merge(Toml::file_exact(file));
         }
         figment
-            .merge(Env::prefixed("FIRCROFT_").ignore(&["config"]))
+            .merge(Env::prefixed("FIRCROFT_").ignore(&["config"]).split("__"))
             .merge(Serialized::defaults(flags))
             .extract()
             .map_err(|error| WrongUse(format!("configuration: {error}")).into())
