--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -1,6 +1,6 @@
 //! The agent's loop: the registry's lines, the node's watches, what is passed on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -38,7 +38,8 @@
     Directives(oneshot::Sender<Value>),
     /// What was passed on has arrived, or not.
     Passed(bool),
-    Renewed,
+    /// The members that the registry has as they are.
+    Renewed(Vec<Member>),
 }
 
 /// How the registry's watch is to go on.
@@ -67,6 +68,8 @@
     passing: Option<(String, Vec<audit::Event>)>,
     under_way: bool,
     members: Vec<Member>,
+    /// Those that the registry has not been told of as they are.
+    fresh: BTreeSet<String>,
     renewing: bool,
     passed: Instant,
     renewed: Option<Instant>,
@@ -91,7 +94,9 @@
         let (moves, orders) = mpsc::channel(4);
         let from = Some(list.revision).filter(|&revision| revision > 0);
         tokio::spawn(watch(client.watch(from), tx.clone(), orders));
-        let members = config.members.iter().filter(|member| member.role == Role::Server).cloned().collect();
+        let members: Vec<Member> =
+            config.members.iter().filter(|member| member.role == Role::Server).cloned().collect();
+        let fresh = members.iter().map(|member| member.id.clone()).collect();
         Ok(Service {
             client,
             list,
@@ -103,6 +108,7 @@
             passing: None,
             under_way: false,
             members,
+            fresh,
             renewing: false,
             passed: Instant::now(),
             renewed: None,
@@ -165,7 +171,12 @@
                     self.passing = None;
                 }
             }
-            Msg::Renewed => self.renewing = false,
+            Msg::Renewed(known) => {
+                self.renewing = false;
+                for member in known.iter().filter(|member| self.members.contains(member)) {
+                    self.fresh.remove(&member.id);
+                }
+            }
         }
     }
 
@@ -217,6 +228,7 @@
         };
         if !self.members.contains(&member) {
             self.members.retain(|other| other.id != member.id);
+            self.fresh.insert(member.id.clone());
             self.members.push(member);
             self.renewed = None;
         }
@@ -268,24 +280,38 @@
         });
     }
 
-    /// Says that the members are alive. What is the same renews the lease and nothing else.
+    /// Registers members that are new or have changed, and says of the others that they are alive: what an operator
+    /// has said of one since, as that it drains, stands.
     fn renew(&mut self) {
         (self.renewing, self.renewed) = (true, Some(Instant::now()));
-        let (client, tx, members) = (self.client.clone(), self.tx.clone(), self.members.clone());
-        let lease_ms = Some(self.config.lease_ms);
+        let (client, tx, fresh) = (self.client.clone(), self.tx.clone(), self.fresh.clone());
+        let (members, lease_ms) = (self.members.clone(), Some(self.config.lease_ms));
         tokio::spawn(async move {
-            for member in members {
-                let id = member.id.clone();
-                let put = Command::Put { member, lease_ms, expect: Expect::Any };
-                match client.propose("", put, Duration::from_secs(2)).await {
+            let within = Duration::from_secs(2);
+            let (new, old): (Vec<Member>, Vec<Member>) =
+                members.into_iter().partition(|member| fresh.contains(&member.id));
+            let mut known = old.clone();
+            let ids: Vec<String> = old.iter().map(|member| member.id.clone()).collect();
+            let gone = match client.propose("", Command::Renew { ids }, within).await {
+                Ok(registry::Outcome::Conflict { .. }) => old,
+                Ok(_) => Vec::new(),
+                Err(error) => {
+                    tracing::debug!(%error, "not renewed");
+                    Vec::new()
+                }
+            };
+            let puts = new.into_iter().map(|member| (member, Expect::Any));
+            for (member, expect) in puts.chain(gone.into_iter().map(|member| (member, Expect::Absent))) {
+                let put = Command::Put { member: member.clone(), lease_ms, expect };
+                match client.propose("", put, within).await {
                     Ok(registry::Outcome::Refused { why }) => {
-                        tracing::warn!(member = id, why, "not registered")
+                        tracing::warn!(member = member.id, why, "not registered")
                     }
-                    Ok(_) => {}
-                    Err(error) => tracing::debug!(member = id, %error, "not renewed"),
+                    Ok(_) => known.push(member),
+                    Err(error) => tracing::debug!(member = member.id, %error, "not registered yet"),
                 }
             }
-            let _ = tx.send(Msg::Renewed).await;
+            let _ = tx.send(Msg::Renewed(known)).await;
         });
     }
 
--- a/crates/audit/src/node.rs
+++ b/crates/audit/src/node.rs
@@ -151,7 +151,9 @@
         }
         let acted = node.standing;
         node.incarnation = incarnation;
-        // A new process owes nothing to what the old one said: neither its claims nor its lies.
+        // A new process owes nothing to what the old one said or did: neither its claims nor its lies, nor what was
+        // seen of it. A step of the ladder stays until there is evidence of the new one.
+        (node.low, node.good) = (None, None);
         (node.standing, node.oldest, node.reported, node.claimed) = (0, 0, None, now);
         (node.lies, node.drains) = (false, false);
         let (node, program, config) = (name.to_owned(), program.to_owned(), config.to_owned());
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -51,7 +51,7 @@
         #[serde(default)]
         expect: Expect,
     },
-    /// Says that members are alive, and what their agents have told them.
+    /// Says that members are alive; a conflict where one of them is not there (the others are renewed).
     Renew {
         /// The members.
         ids: Vec<String>,
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -37,7 +37,7 @@
     fn default() -> Self {
         Config {
             targets: "app".to_owned(),
-            request_ms: 300_000,
+            request_ms: 60_000,
             requests: 100_000,
             changes: 10_000,
             members: 20_000,
@@ -113,13 +113,19 @@
         {
             return outcome.clone();
         }
+        let named = !proposal.request.is_empty();
+        // One that is carried out and not remembered would be carried out again when it is asked again.
+        if named && self.requests.len() >= self.config.requests {
+            let why =
+                format!("requests: {} ids are remembered and there is room for no more", self.requests.len());
+            return Outcome::Refused { why };
+        }
         let verdicts = self.audit.history().newest();
         let outcome = self.carry_out(index, &proposal.command);
         if self.audit.history().newest() != verdicts {
             self.directives = index;
         }
-        let named = !proposal.request.is_empty();
-        if named && self.requests.len() < self.config.requests {
+        if named {
             self.requests.insert(proposal.request.clone(), (outcome.clone(), self.now));
         }
         outcome
@@ -143,12 +149,16 @@
                 return self.put(index, &member, lease, *expect);
             }
             Command::Renew { ids } => {
-                let now = self.now;
+                let (now, mut missing) = (self.now, false);
                 for id in ids {
-                    if let Some(held) = self.members.get_mut(id) {
-                        held.renewed = now;
+                    match self.members.get_mut(id) {
+                        Some(held) => held.renewed = now,
+                        None => missing = true,
                     }
                 }
+                if missing {
+                    return Outcome::Conflict { found: None };
+                }
             }
             Command::Remove { id, expect } => {
                 if let Some(found) = self.other_than(id, *expect) {
--- a/crates/replica/src/feed.rs
+++ b/crates/replica/src/feed.rs
@@ -111,13 +111,16 @@
     }
 
     /// Keeps silent watches alive.
-    pub fn beat(&mut self, _state: &State) {
-        self.open.retain_mut(|open| match open.kind {
-            Kind::Targets if open.last.elapsed() >= BEAT => open.send(Bytes::from_static(b"\n")),
-            Kind::Agent if open.last.elapsed() >= BEAT => open.send(Bytes::from_static(b"\n")),
-            _ => !open.tx.is_closed(),
+    pub fn beat(&mut self) {
+        self.open.retain_mut(|open| {
+            open.last.elapsed() < BEAT && !open.tx.is_closed() || open.send(Bytes::from_static(b"\n"))
         });
     }
+
+    /// Ends the agents' watches: they go on at another replica.
+    pub fn close_agents(&mut self) {
+        self.open.retain(|open| open.kind != Kind::Agent);
+    }
 }
 
 impl Open {
--- a/crates/replica/src/raftloop.rs
+++ b/crates/replica/src/raftloop.rs
@@ -13,7 +13,7 @@
 
 use crate::config::Config;
 use crate::disk::Job;
-use crate::feed::{Feed, Feeds};
+use crate::feed::{Feed, Feeds, Kind};
 use crate::log::Log;
 use crate::peers::Links;
 use crate::wire;
@@ -58,6 +58,8 @@
     pub leads: bool,
 }
 
+/// A replica is stale no sooner than this after it last heard of the passing of time.
+const LEAST_STALE: Duration = Duration::from_secs(1);
 /// Messages that are taken before Raft is asked what follows.
 const BATCH: usize = 256;
 
@@ -79,6 +81,8 @@
     /// When the passing of time was last written.
     clock: Instant,
     feeds: Feeds,
+    /// When log time last went on here.
+    heard: Instant,
     /// A snapshot is being written.
     snapshotting: bool,
 }
@@ -128,6 +132,7 @@
             start,
             leads: false,
             clock: Instant::now(),
+            heard: Instant::now(),
             snapshotting: false,
         })
     }
@@ -150,7 +155,10 @@
             Msg::Tick => {
                 self.node.tick();
                 self.write_clock();
-                self.feeds.beat(&self.state);
+                if self.is_stale() {
+                    self.feeds.close_agents();
+                }
+                self.feeds.beat();
             }
             Msg::Raft(message) => {
                 if let Some(message) = message.into_raft() {
@@ -166,6 +174,9 @@
                 let (id, term, leads) = (self.config.id, self.node.raft.term, self.leads);
                 look(&View { state: &self.state, id, leader, term, leads });
             }
+            Msg::Watch(feed) if feed.kind == Kind::Agent && self.is_stale() => {
+                let _ = feed.opened.send(Err("nothing new is heard here: ask another replica"));
+            }
             Msg::Watch(feed) => self.feeds.add(feed, &self.state),
             Msg::Persisted(number) => self.persisted(number),
             Msg::DiskFailed(why) => anyhow::bail!("{why}"),
@@ -177,6 +188,12 @@
         Ok(())
     }
 
+    /// Whether this replica is cut off from the log, or lags: whoever watches it would take it for silence of the
+    /// whole registry. The leader writes the passing of time, so a replica that keeps up hears of it.
+    fn is_stale(&self) -> bool {
+        self.heard.elapsed() > Duration::from_millis(self.config.clock_ms * 4).max(LEAST_STALE)
+    }
+
     /// The leader writes how much time has passed. A new one begins at nothing: no lease runs while nobody leads.
     fn write_clock(&mut self) {
         if !self.leads || self.clock.elapsed() < Duration::from_millis(self.config.clock_ms) {
@@ -285,6 +302,7 @@
 
     fn apply(&mut self, committed: Vec<Entry>) -> anyhow::Result<()> {
         let Some(last) = committed.last().map(|entry| entry.index) else { return Ok(()) };
+        let clock = self.state.now();
         for entry in &committed {
             if entry.data.is_empty() {
                 continue;
@@ -300,6 +318,9 @@
             }
         }
         self.node.advance_apply_to(last);
+        if self.state.now() != clock {
+            self.heard = Instant::now();
+        }
         self.feeds.push(&self.state);
         Ok(())
     }
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -333,6 +333,26 @@
         Ok(())
     }
 
+    /// Starts again the nodes that have ended by themselves, as a host would; how many.
+    ///
+    /// # Errors
+    ///
+    /// Where one does not start again.
+    pub async fn restart_ended(&mut self) -> anyhow::Result<usize> {
+        let ended: Vec<usize> = (0..self.processes.len())
+            .filter(|&place| self.processes[place].as_mut().is_some_and(|process| !process.runs()))
+            .collect();
+        for &place in &ended {
+            self.start_node(place).await?;
+        }
+        Ok(ended.len())
+    }
+
+    /// Where the list of a node's agent lies on disk.
+    pub fn list_file(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("n{place}.list"))
+    }
+
     /// What a node is after a repair: without the fault that it was started with.
     ///
     /// # Errors
@@ -352,13 +372,27 @@
     ///
     /// Where the registry does not take it.
     pub async fn change(&mut self) -> anyhow::Result<u64> {
+        let id = format!("x-{}", (self.changes + 1) as usize % self.plan.servers);
+        self.change_to(&id).await
+    }
+
+    /// Commits a change that nodes with the fault `crash` do not survive.
+    ///
+    /// # Errors
+    ///
+    /// Where the registry does not take it.
+    pub async fn bad_change(&mut self) -> anyhow::Result<u64> {
+        self.change_to("x-bad").await
+    }
+
+    async fn change_to(&mut self, id: &str) -> anyhow::Result<u64> {
         self.changes += 1;
         let place = self.changes as usize % self.plan.servers;
         let size = 1.0 + (self.changes % 7) as f64 / 100.0;
         let mut member = self.server_member(place, self.servers[place].addr);
         member["size"] = json!(size);
         // The server's agent would put the old size back with its next word: it is a server of its own.
-        member["id"] = json!(format!("x-{place}"));
+        member["id"] = json!(id);
         member["phase"] = json!("terminating");
         let command = json!({"put": {"member": member}});
         let command = serde_json::from_value(command).context("a command")?;
@@ -370,6 +404,25 @@
         Ok(revision)
     }
 
+    /// Another client, by the same links.
+    ///
+    /// # Errors
+    ///
+    /// Where the system gives no sockets.
+    pub fn client(&self) -> anyhow::Result<Client> {
+        Ok(Client::new(self.apis.iter().map(Relay::addr).collect())?)
+    }
+
+    /// A client of one replica alone.
+    ///
+    /// # Errors
+    ///
+    /// Where that replica is down.
+    pub fn replica(&self, place: usize) -> anyhow::Result<Client> {
+        let target = self.api_targets[place].filter(|_| self.replicas[place].is_some());
+        Ok(Client::new(vec![target.with_context(|| format!("r{place} is down"))?])?)
+    }
+
     /// What the audit says.
     ///
     /// # Errors
--- a/crates/rig/tests/audit/scenarios.rs
+++ b/crates/rig/tests/audit/scenarios.rs
@@ -210,3 +210,177 @@
         check(&site, &["n7"]).await
     });
 }
+
+// A replica hears nothing of the others and goes on living: its watchers must not take that for silence of the list.
+#[test]
+fn a_replica_that_lags_makes_nobody_late() {
+    play(|| async {
+        let mut site = Site::start(Plan::default(), seed()).await?;
+        let leader = site.leader().await.ok_or(anyhow::anyhow!("no leader: void"))?;
+        let lags = (leader + 1) % 3;
+        let links = |site: &Site, mode| {
+            let to = site.raft_links.iter().filter(|((_, to), _)| *to == lags);
+            to.for_each(|(_, link)| link.set(mode));
+        };
+        links(&site, Mode::Silent);
+        for _ in 0..12 {
+            site.change().await?;
+            sleep(Duration::from_millis(500)).await;
+        }
+        links(&site, Mode::Cut);
+        sleep(Duration::from_millis(50)).await;
+        links(&site, Mode::Pass);
+        check(&site, &[]).await
+    });
+}
+
+// Six of twelve nodes crash on a change: it is named, the floor stays below it, and nobody is shut out.
+#[test]
+fn a_change_that_nodes_crash_on_halts_the_floor_and_is_named() {
+    play(|| async {
+        let faults = (0..6).map(|place| (place * 2, "crash")).collect();
+        let mut site = Site::start(Plan { faults, ..Plan::default() }, seed()).await?;
+        site.change().await?;
+        sleep(Duration::from_secs(1)).await;
+        let bad = site.bad_change().await?;
+        let start = std::time::Instant::now();
+        while site.audit().await?["halted"].is_null() && start.elapsed() < rig::site::PATIENCE {
+            sleep(Duration::from_millis(200)).await;
+            site.restart_ended().await?;
+        }
+        for _ in 0..8 {
+            site.change().await?;
+            sleep(Duration::from_millis(500)).await;
+            site.restart_ended().await?;
+        }
+        let audit = site.audit().await?;
+        anyhow::ensure!(audit["halted"] == bad, "halted {} where {bad} is bad", audit["halted"]);
+        anyhow::ensure!(audit["floor"].as_u64() < Some(bad), "the floor reached {}", audit["floor"]);
+        check(&site, &["n0", "n2", "n4", "n6", "n8", "n10"]).await
+    });
+}
+
+// Twenty changes a second: nodes act on some of them only, and are not late.
+#[test]
+fn changes_that_come_faster_than_nodes_act_make_nobody_late() {
+    play(|| async {
+        let mut site = Site::start(Plan::default(), seed()).await?;
+        let mut last = 0;
+        for _ in 0..80 {
+            last = site.change().await?;
+            sleep(Duration::from_millis(40)).await;
+        }
+        site.wait("all acted on the last change", async |site| {
+            let answer = site.client.get(&format!("/v1/audit/revisions/{last}")).await?;
+            Ok(answer["spread"]["all_ms"].is_u64())
+        })
+        .await?;
+        check(&site, &[]).await
+    });
+}
+
+// An agent comes back with an older list on disk: its node is told nothing older than it has.
+#[test]
+fn an_agent_with_an_older_disk_tells_its_node_nothing_older() {
+    play(|| async {
+        let mut site = Site::start(Plan::default(), seed()).await?;
+        site.change().await?;
+        sleep(Duration::from_secs(1)).await;
+        let old = std::fs::read(site.list_file(3))?;
+        for _ in 0..4 {
+            site.change().await?;
+            sleep(Duration::from_millis(300)).await;
+        }
+        let agent = site.nodes[3].agent.take().ok_or(anyhow::anyhow!("no agent: void"))?;
+        agent.kill().await?;
+        std::fs::write(site.list_file(3), old)?;
+        // The registry is out of its reach at first: all it has is old.
+        site.nodes[3].links.iter().for_each(|link| link.set(Mode::Cut));
+        let mut machine = site.nodes.remove(3);
+        site.start_agent("n3", &mut machine).await?;
+        site.nodes.insert(3, machine);
+        sleep(Duration::from_secs(1)).await;
+        site.nodes[3].links.iter().for_each(|link| link.set(Mode::Pass));
+        let last = site.change().await?;
+        site.wait("its node acts on the last change", async |site| {
+            Ok(node(&site.audit().await?, "n3")["standing"].as_u64() >= Some(last))
+        })
+        .await?;
+        check(&site, &["n3"]).await
+    });
+}
+
+// Slow by more than its grace for ever: no step helps, and it is shut out.
+#[test]
+fn a_node_that_is_slow_for_ever_is_shut_out() {
+    play(|| async {
+        let mut site = Site::start(Plan::default(), seed()).await?;
+        site.nodes[6].discovery.set(Mode::Delay(4_000));
+        change_until(&mut site, "it is shut out", async |site| is(site, "n6", "admission", "out").await)
+            .await?;
+        check(&site, &["n6"]).await
+    });
+}
+
+// A node that hears nothing of a drain goes on sending: the audit names each request, and no other.
+#[test]
+fn requests_after_a_drain_are_named_exactly() {
+    play(|| async {
+        let site = Site::start(Plan::default(), seed()).await?;
+        // Its watch never speaks again, whatever it does.
+        site.nodes[5].discovery.set(Mode::SilentBack);
+        let drain =
+            serde_json::from_value(serde_json::json!({"set_phase": {"id": "s-2", "phase": "terminating"}}))?;
+        site.client.propose(&client::Client::request_id(), drain, rig::site::PATIENCE).await?;
+        site.servers[2].set_draining(true);
+        sleep(Duration::from_secs(4)).await;
+        site.front.load_off();
+        let due: std::collections::BTreeSet<String> = site
+            .events
+            .read()?
+            .iter()
+            .filter(|event| event["kind"] == "attempt" && event["draining"] == true)
+            .filter_map(|event| event["request"].as_str().map(str::to_owned))
+            .collect();
+        anyhow::ensure!(!due.is_empty(), "nothing was sent after the drain: void");
+        site.wait("the audit names what the event file has", async |site| {
+            let answer = site.client.get("/v1/audit/after-drain/s-2").await?;
+            let named = answer["requests"].as_array().into_iter().flatten();
+            let named: std::collections::BTreeSet<String> =
+                named.filter_map(|after| after["request"].as_str().map(str::to_owned)).collect();
+            anyhow::ensure!(named == due, "named {named:?}, due {due:?}");
+            Ok(answer["requests"].as_array().into_iter().flatten().any(|after| after["node"] == "n5"))
+        })
+        .await?;
+        check(&site, &["n5"]).await
+    });
+}
+
+// Behind again and again, and caught up in between: each time it begins one step higher, until it is out.
+#[test]
+fn a_flapping_node_climbs_until_it_is_out() {
+    play(|| async {
+        let mut site = Site::start(Plan::default(), seed()).await?;
+        let mut out = false;
+        for _ in 0..8 {
+            site.nodes[8].discovery.set(Mode::Delay(5_000));
+            change_until(&mut site, "it is behind", async |site| Ok(!is(site, "n8", "step", "fine").await?))
+                .await?;
+            for _ in 0..5 {
+                site.change().await?;
+                sleep(Duration::from_millis(500)).await;
+            }
+            if is(&site, "n8", "admission", "out").await? {
+                out = true;
+                break;
+            }
+            site.nodes[8].discovery.set(Mode::Cut);
+            sleep(Duration::from_millis(50)).await;
+            site.nodes[8].discovery.set(Mode::Pass);
+            change_until(&mut site, "it has caught up", async |site| is(site, "n8", "step", "fine").await)
+                .await?;
+        }
+        anyhow::ensure!(out, "it flaps for ever");
+        check(&site, &["n8"]).await
+    });
+}
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -347,10 +347,17 @@
         }
     }
 
-    /// A fault for tests, `WOODGAP_FAULT=stuck` or `liar`: it acts on no list but its first one, and says so or not.
+    /// A fault for tests, `WOODGAP_FAULT`. `stuck` or `liar`: it acts on no list but its first one, and says so or
+    /// not. `crash`: it ends a moment after it acts on a list with the server `x-bad`.
     #[cfg(feature = "faults")]
     fn ignores(&self, list: &List) -> bool {
         let fault = std::env::var("WOODGAP_FAULT").unwrap_or_default();
+        if fault == "crash" && list.entries.iter().any(|entry| entry.id == "x-bad") {
+            spawn_local(async {
+                tokio::time::sleep(Duration::from_millis(1_200)).await;
+                std::process::exit(3);
+            });
+        }
         let ignores = self.revision > 0 && matches!(fault.as_str(), "stuck" | "liar");
         if let (true, "liar", Some(witness), Some(revision)) =
             (ignores, fault.as_str(), &self.witness, list.revision)
