Name a liar however fast the list changes

Ruled out: the witnesses (their sights of revision 17 are in the record) and the claims (its reports stood at 4889).

Fault: a lie was counted from the last claim on (audit's node.rs, `claimed`), and each report of a later revision moved that: with changes every half second it was never longer ago than an attempt may travel (800 ms there).

Change: the latest 32 claims are kept, and a lie counts from the first claim of a later revision than the one acted on.

--- a/crates/audit/src/node.rs
+++ b/crates/audit/src/node.rs
@@ -1,9 +1,14 @@
 //! What is known of one node, and the evidence for and against it.
 
+use std::collections::VecDeque;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{Audit, Event, Happening, Ms, Report, Revision, Sight, Stamp};
 
+/// Claims that are kept. A node reports a few times a second: more than lie within an attempt's time under way.
+const CLAIMS: usize = 32;
+
 /// Who vouches for a proof.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -80,8 +85,9 @@
     pub oldest: Revision,
     /// When the newest report of this process was applied; none yet is `None`.
     pub reported: Option<Ms>,
-    /// Since when it has claimed to stand on `standing`, by the time its report was applied.
-    pub claimed: Ms,
+    /// What it claimed to stand on, and when the report that first said so was applied: the latest claims, oldest
+    /// first.
+    pub claims: VecDeque<(Revision, Ms)>,
     /// The newest evidence that it was behind, and that it was not.
     pub low: Option<Proof>,
     /// The newest evidence that it was not behind.
@@ -154,7 +160,8 @@
         // A new process owes nothing to what the old one said or did: neither its claims nor its lies, nor what was
         // seen of it. A step of the ladder stays until there is evidence of the new one.
         (node.low, node.good) = (None, None);
-        (node.standing, node.oldest, node.reported, node.claimed) = (0, 0, None, now);
+        (node.standing, node.oldest, node.reported) = (0, 0, None);
+        node.claims.clear();
         (node.lies, node.drains) = (false, false);
         let (node, program, config) = (name.to_owned(), program.to_owned(), config.to_owned());
         self.note(Happening::Started { node: node.clone(), incarnation, program, config });
@@ -205,7 +212,10 @@
             return self.note(Happening::FellBack { node: name, from, to });
         }
         if report.standing > node.standing {
-            node.claimed = now;
+            node.claims.push_back((report.standing, now));
+            if node.claims.len() > CLAIMS {
+                node.claims.pop_front();
+            }
         }
         let moved = report.standing > node.standing || node.reported.is_none();
         (node.standing, node.oldest) = (report.standing, report.oldest.min(report.standing));
@@ -242,9 +252,10 @@
             return;
         }
         let proof = Proof { revision: sight.revision, needed, at: sight.last, by: by.clone() };
+        // By the first claim of a later revision: one that claims a new one each moment lies all the same.
+        let later = node.claims.iter().find(|(claimed, _)| *claimed > sight.revision);
         let lie = sight.incarnation == node.incarnation
-            && sight.revision < node.standing
-            && sight.last.after > node.claimed + flight;
+            && later.is_some_and(|(_, since)| sight.last.after > since + flight);
         if sight.revision < needed {
             replace(&mut node.low, proof);
         } else {
--- a/crates/audit/tests/schedules/world.rs
+++ b/crates/audit/tests/schedules/world.rs
@@ -50,6 +50,8 @@
     pub now: Ms,
     pub nodes: BTreeMap<String, Truth>,
     pub commits: Vec<(Revision, Ms)>,
+    /// How likely a step changes the list.
+    pub changes: f64,
     pub bad: Option<Revision>,
     /// Words under way: when they arrive.
     pub words: Vec<(Ms, Event)>,
@@ -79,6 +81,7 @@
             lost: false,
         };
         let nodes = (0..all).map(|n| (format!("n{n}"), truth(&mut rng, n % zones))).collect();
+        let changes = [0.06, 0.06, 0.5][rng.random_range(0..3)];
         let audit = Audit::new(config.clone());
         let mut world = World {
             audit,
@@ -87,6 +90,7 @@
             now: 1_000,
             nodes,
             commits: Vec::new(),
+            changes,
             bad: None,
             words: Vec::new(),
             read: 0,
@@ -130,7 +134,7 @@
     /// A step of some hundred milliseconds.
     pub fn step(&mut self) {
         self.now += self.rng.random_range(100..LONGEST_STEP);
-        if self.rng.random_bool(0.06) {
+        if self.rng.random_bool(self.changes) {
             let revision = self.newest() + self.rng.random_range(1..9);
             self.commits.push((revision, self.now));
             if self.bad.is_none() && self.rng.random_bool(0.2) {
