Say which settings are not told and what stands for each

Need: the operators call a default that quietly stands in for a missing setting a fault. Reader took the default of each question without a word (settings.rs, number and word).

Change: what is absent is noted apart from what is wrong; the node writes one warning at its start, check config a note each. What WIRE lets a site leave out is meant and stays quiet. The tests on findings are as they were: nothing wrong is found in a file that tells little.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -46,11 +46,21 @@
             found: &finding.found,
             severity: severity(finding),
         });
+        let assumed = findings.assumed().iter().map(|(path, stands)| Row {
+            path,
+            expected: "a setting",
+            found: stands,
+            severity: "note",
+        });
+        let rows = rows.chain(assumed);
         print_json(out, &rows.collect::<Vec<_>>())?;
     } else {
         for finding in findings.all() {
             writeln!(out, "{}: {finding}", severity(finding))?;
         }
+        for (path, stands) in findings.assumed() {
+            writeln!(out, "note: settings.{path}: not told, {stands} stands for it")?;
+        }
         let errors = findings.all().iter().filter(|finding| finding.effect == Effect::Refused).count();
         let warnings = findings.all().len() - errors;
         match &config {
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -123,6 +123,11 @@
     for finding in findings.all() {
         warn!(path = finding.path, expected = finding.expected, found = finding.found, "left out");
     }
+    if !findings.assumed().is_empty() {
+        let assumed: Vec<_> =
+            findings.assumed().iter().map(|(path, stands)| format!("{path}={stands}")).collect();
+        warn!(assumed = assumed.join(" "), "not told by the settings");
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(run(config, path.clone())))
 }
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -38,7 +38,10 @@
 
 /// The findings of one reading, in the order in which they were met.
 #[derive(Clone, Debug, Default)]
-pub struct Findings(Vec<Finding>);
+pub struct Findings {
+    wrong: Vec<Finding>,
+    assumed: Vec<(String, String)>,
+}
 
 impl Findings {
     /// Notes something that keeps a node from starting.
@@ -57,29 +60,40 @@
     }
 
     fn note(&mut self, path: String, expected: String, found: String, effect: Effect) {
-        self.0.push(Finding { path, expected, found, effect });
+        self.wrong.push(Finding { path, expected, found, effect });
+    }
+
+    /// Notes what stands for a setting that the input does not tell: nothing is wrong, and nothing is quiet.
+    pub fn assume(&mut self, path: impl Into<String>, stands: impl Into<String>) {
+        self.assumed.push((path.into(), stands.into()));
+    }
+
+    /// The settings that were not told, and what stands for each.
+    pub fn assumed(&self) -> &[(String, String)] {
+        &self.assumed
     }
 
     /// Adds those of another reading.
     pub fn append(&mut self, mut other: Findings) {
-        self.0.append(&mut other.0);
+        self.wrong.append(&mut other.wrong);
+        self.assumed.append(&mut other.assumed);
     }
 
     /// Whether a node that reads this does not start.
     pub fn refused(&self) -> bool {
-        self.0.iter().any(|finding| finding.effect == Effect::Refused)
+        self.wrong.iter().any(|finding| finding.effect == Effect::Refused)
     }
 
     /// All of them.
     pub fn all(&self) -> &[Finding] {
-        &self.0
+        &self.wrong
     }
 }
 
 /// All findings, set apart by semicolons.
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (n, finding) in self.0.iter().enumerate() {
+        for (n, finding) in self.wrong.iter().enumerate() {
             write!(f, "{}{finding}", if n > 0 { "; " } else { "" })?;
         }
         Ok(())
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -159,8 +159,17 @@
     }
 }
 
+/// What a site need not tell (WIRE), and what later sites may add: where these are absent, the default is meant.
+const MAY_BE_ABSENT: [&str; 5] = [
+    "classes.count",
+    "tenants.count",
+    "domain.warm-keys",
+    "rules.settle-after-doubt",
+    "rules.may-shed-begun",
+];
+
 /// Reads pairs. What is absent keeps the default given with the question; what can't be read does so too, and
-/// is noted.
+/// both are noted.
 pub struct Reader<'a> {
     pairs: &'a Pairs,
     /// What was found wrong so far.
@@ -196,8 +205,25 @@
         self.text(path)
     }
 
-    fn number<T>(&mut self, path: &str, default: T, expected: &str, read: impl Fn(&str) -> Option<T>) -> T {
-        let Some(text) = self.plain(path, expected) else { return default };
+    /// Notes that a default stands for what is not told.
+    fn assume(&mut self, path: &str, stands: impl fmt::Display) {
+        let meant = MAY_BE_ABSENT.contains(&path) || path.ends_with(".serial-by-key");
+        if !meant && !self.pairs.nested.contains_key(path) {
+            self.findings.assume(path, stands.to_string());
+        }
+    }
+
+    fn number<T: fmt::Display>(
+        &mut self,
+        path: &str,
+        default: T,
+        expected: &str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> T {
+        let Some(text) = self.plain(path, expected) else {
+            self.assume(path, &default);
+            return default;
+        };
         read(text).unwrap_or_else(|| {
             self.findings.refuse(self.pairs.at(path), expected, quote(text));
             default
@@ -214,7 +240,10 @@
         let expected = || words.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(" or ");
         let text = match self.pairs.nested.contains_key(path) {
             true => self.plain(path, &expected())?,
-            false => self.text(path)?,
+            false => self.text(path).or_else(|| {
+                self.assume(path, "none");
+                None
+            })?,
         };
         let known = words.iter().find(|(word, _)| *word == text);
         if known.is_none() {
