End what a client left behind, close over nothing unread, and keep repeats in their window

- A close behind bytes of a next request was never noticed: hyper looks for the end only while its read buffer is empty (proto/h1/conn.rs, mid_message_detect_eof).
The connection now reads on itself while a request is open, keeps 16 KiB of it for the library and drops the rest; the connection then ends with its answer.
- A request whose client had left by the time it was read still reached a server: the driver sent it and heard of the close one message later.
Call::over is set at once and looked at before each write, so a dial that comes up late writes nothing either, also where cancelling is not allowed.
- A close over unread bytes reset the connection: the socket is now read until the client's end, at most 0.5 s or 1 MiB.
- At the close of idle ones after SIGTERM hyper ended a connection on which half a head had come (KA::Idle until the head is whole), and one whose request lay in the system's buffer; Clients::evict did the same for the place.
Both look first.
Newcomers in the backlog are served before the exit.
- After SIGTERM a request is answered before the platform's kill, however long its client would wait.
- An answer that only its connection's end delimits counts where that end is orderly (exchange.rs took it for broken always).
- A keyed repeat could be written past its window, since the dial and the wait for a socket came after the decision: Send says by when it has to begin.
- A request that no server has seen is refused at its deadline, not called late.
- Counts: connections closed with nothing answered, requests that took too long to come.

Tests that sat in touched files moved to files of their own.

--- a/src/api.rs
+++ b/src/api.rs
@@ -364,6 +364,9 @@
         server: ServerId,
         /// Its time-out.
         limit: Micros,
+        /// It must be on its way within this time or not go out at all: a keyed repeat past its window may run
+        /// twice.
+        begin_within: Option<Micros>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/bin/woodgap-simhost/wire.rs
+++ b/src/bin/woodgap-simhost/wire.rs
@@ -210,7 +210,7 @@
 /// An action, as its line.
 pub fn write_action<W: Write>(out: &mut W, action: &Action) -> io::Result<()> {
     match action {
-        Action::Send { id, server, limit } => {
+        Action::Send { id, server, limit, .. } => {
             writeln!(out, "DELIVER {} {} {limit}", text(id), server.0)
         }
         Action::Cancel { id, attempt } => writeln!(out, "CALL_OFF {} {attempt}", text(id)),
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -22,6 +22,7 @@
 use woodgap::{ClassId, Settings, TenantId};
 
 use crate::conn::{Conn, Phase, Socket, SLOW};
+use crate::counts::Count;
 use crate::driver::{Answer, Arrival, Msg};
 use crate::exchange::{Call, LONGEST_BODY};
 use crate::request::{drop_hop_headers, Fault, Head};
@@ -37,6 +38,12 @@
 pub const MARGIN: Duration = Duration::from_millis(12);
 /// After SIGTERM new connections and requests still come for up to 0.4 s.
 const DRAIN: Duration = Duration::from_millis(600);
+/// After SIGTERM the process may be killed once the longest deadline, at most the first of these, and the second
+/// have passed: what comes late has its answer by then.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+const KILL: Duration = Duration::from_millis(650);
+/// How long the last connection is outlived, for those that wait to be accepted.
+const BACKLOG: Duration = Duration::from_millis(20);
 /// A connection past the budget gets this long to hear that it is refused, and one that comes while
 /// the node closes to send its request.
 const REFUSAL: Duration = Duration::from_secs(1);
@@ -70,7 +77,8 @@
     open: RefCell<HashSet<String>>,
     next_conn: Cell<u64>,
     conns: RefCell<HashMap<u64, Rc<Conn>>>,
-    draining: Cell<bool>,
+    /// Since SIGTERM: by when all has to be answered.
+    answer_by: Cell<Option<Instant>>,
     /// Set once idle connections are to go as well.
     closing: Cell<bool>,
     /// Told whenever a connection ends.
@@ -101,7 +109,7 @@
             open: RefCell::default(),
             next_conn: Cell::new(0),
             conns: RefCell::default(),
-            draining: Cell::new(false),
+            answer_by: Cell::new(None),
             closing: Cell::new(false),
             ended: Notify::new(),
         })
@@ -147,12 +155,15 @@
         }
     }
 
-    /// Closes the most dispensable connection, if one may be closed.
+    /// Closes the most dispensable connection, if one may be closed. Never one whose request has come and waits
+    /// in the system's buffer for its task to run.
     fn evict(&self) -> bool {
         let conns = self.conns.borrow();
-        let most = conns.values().max_by(|a, b| a.spare().total_cmp(&b.spare()));
-        let most = most.filter(|conn| conn.spare() >= 1.0);
-        most.inspect(|conn| conn.shut(true)).is_some()
+        let mut spare: Vec<_> = conns.values().map(|conn| (conn.spare(), conn)).collect();
+        spare.retain(|(spare, _)| *spare >= 1.0);
+        spare.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+        let most = spare.into_iter().find(|(_, conn)| conn.gives_way());
+        most.inspect(|(_, conn)| conn.shut(true)).is_some()
     }
 
     /// Closes connections on which a request takes too long to come, for as long as the node lives.
@@ -160,7 +171,13 @@
     async fn look_over(self: Rc<Self>) {
         loop {
             sleep(LOOK).await;
-            self.conns.borrow().values().filter(|conn| conn.overdue()).for_each(|conn| conn.shut(true));
+            let conns = self.conns.borrow();
+            // What has come since a task last ran may be all that was missing: that one has until the next look.
+            let overdue = conns.values().filter(|conn| conn.is_overdue() && conn.gives_way());
+            overdue.for_each(|conn| {
+                self.servers.counts.one(Count::TooSlow);
+                conn.shut(true);
+            });
         }
     }
 
@@ -168,7 +185,7 @@
     async fn serve(self: Rc<Self>, stream: TcpStream, permits: (Permit, Option<Permit>), refuse: bool) {
         // One that comes this late still gets its one request answered: it counts as taken.
         let last = self.closing.get();
-        let conn = Conn::new(if refuse || last { REFUSAL } else { SLOW });
+        let conn = Conn::new(stream, if refuse || last { REFUSAL } else { SLOW });
         let number = self.next_conn.replace(self.next_conn.get() + 1);
         self.conns.borrow_mut().insert(number, conn.clone());
         let (clients, state) = (self.clone(), conn.clone());
@@ -179,35 +196,46 @@
                 let (mut response, keep) = if refuse {
                     (clients.refusal(Some(OVERFULL)), false)
                 } else {
-                    clients.handle(request, body_by).await
+                    clients.handle(request, &state, body_by).await
                 };
                 let crowded = clients.budget.part() > if state.is_first() { CROWDED } else { FULL };
-                if !keep || crowded || clients.draining.get() {
+                let ends = state.is_overrun() || clients.answer_by.get().is_some();
+                if !keep || crowded || ends {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 state.enter(Phase::Idle);
                 Ok::<_, Infallible>(response)
             }
         });
-        {
+        let left = {
             let connection = http1::Builder::new()
                 .header_read_timeout(None)
                 .max_buf_size(LONGEST_HEAD)
                 .max_headers(MOST_HEADERS)
-                .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
+                .serve_connection(TokioIo::new(Socket::new(conn.clone())), service);
             let mut connection = std::pin::pin!(connection);
             loop {
                 tokio::select! {
-                    _ = connection.as_mut() => break,
+                    _ = connection.as_mut() => break false,
+                    // Dropped, the connection withdraws its request.
+                    () = conn.client_left() => break true,
                     () = conn.close.notified() => {}
                 }
                 if conn.is_abrupt() {
-                    break;
+                    if conn.is_unanswered() {
+                        self.servers.counts.one(Count::ClosedUnasked);
+                    }
+                    break false;
                 }
                 // Idle ones end at once, others with their answer.
                 connection.as_mut().graceful_shutdown();
             }
+        };
+        if !left {
+            conn.enter(Phase::Closing);
+            conn.linger().await;
         }
+        drop(conn);
         // The socket is closed: its place may go to another.
         self.conns.borrow_mut().remove(&number);
         drop(permits);
@@ -217,30 +245,44 @@
     /// After SIGTERM: serves on while clients still come, then closes what is idle and returns
     /// once nothing is held.
     pub async fn drain(&self) {
-        self.draining.set(true);
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let longest = Duration::from_micros(longest);
+        self.answer_by.set(Some(Instant::now() + longest.min(LONGEST_WAIT) + KILL));
         sleep(DRAIN).await;
         self.closing.set(true);
-        self.conns.borrow().values().for_each(|conn| conn.shut(false));
+        // On others a request is open or has begun to come: they end with its answer.
+        self.conns.borrow().values().filter(|conn| conn.is_resting()).for_each(|conn| conn.shut(false));
         // A client that trickles a request must not keep the node up: all that was taken has had
         // its answer by the longest deadline.
-        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let all_ended = async {
-            while !self.conns.borrow().is_empty() {
-                self.ended.notified().await;
+            loop {
+                while !self.conns.borrow().is_empty() {
+                    self.ended.notified().await;
+                }
+                // What waits to be accepted would be reset with the process.
+                sleep(BACKLOG).await;
+                if self.conns.borrow().is_empty() {
+                    return;
+                }
             }
         };
-        let _ = timeout(Duration::from_micros(longest) + DRAIN, all_ended).await;
+        let _ = timeout(longest + DRAIN, all_ended).await;
     }
 
     /// The answer, and whether the connection may be kept after it.
-    async fn handle(&self, request: Request<Incoming>, body_by: Instant) -> (Response<Full<Bytes>>, bool) {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        conn: &Conn,
+        body_by: Instant,
+    ) -> (Response<Full<Bytes>>, bool) {
         match request.uri().path() {
             "/-/ready" if request.method() == Method::GET => {
                 let out = self.witness.as_ref().is_some_and(|witness| witness.is_shut_out());
-                let ready = !self.draining.get() && !out;
+                let ready = self.answer_by.get().is_none() && !out;
                 (plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""), true)
             }
-            "/api" => match self.call(request, body_by).await {
+            "/api" => match self.call(request, conn, body_by).await {
                 Ok(response) => (response, true),
                 // Who sends what can't be used is not trusted with where its next request begins.
                 Err((status, why)) => (plain(status, why), false),
@@ -252,6 +294,7 @@
     async fn call(
         &self,
         request: Request<Incoming>,
+        conn: &Conn,
         body_by: Instant,
     ) -> Result<Response<Full<Bytes>>, Fault> {
         let (parts, body) = request.into_parts();
@@ -266,14 +309,20 @@
                 return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
             }
             Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body is broken\n")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
+            Err(_) => {
+                self.servers.counts.one(Count::TooSlow);
+                return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n"));
+            }
         };
+        conn.is_whole();
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
+        let deadline = self.answer_by.get().map_or(deadline, |by| deadline.min(by));
         let id = self.next_id.replace(self.next_id.get() + 1);
+        let call = Rc::new(Call::new(head.method, head.target, head.headers, body));
         // Servers tell requests apart by what clients call them: a second one under an open id would
         // run its effect twice, or be answered with the other's answer.
-        let Some(_waiting) = Waiting::new(self, id, head.txn) else {
+        let Some(_waiting) = Waiting::new(self, id, head.txn, call.clone()) else {
             return Err((StatusCode::CONFLICT, "a request with this X-Txn is open\n"));
         };
         let (reply, answer) = oneshot::channel();
@@ -285,7 +334,7 @@
             repeat: head.repeat,
             cost: head.cost,
             deadline,
-            call: Rc::new(Call { method: head.method, target: head.target, headers: head.headers, body }),
+            call,
             reply,
         };
         if self.tx.send(Msg::Request(Box::new(arrival))).is_err() {
@@ -332,19 +381,22 @@
     clients: &'a Clients,
     id: u64,
     txn: String,
+    call: Rc<Call>,
 }
 
 impl<'a> Waiting<'a> {
     /// `None` where the client's name for it is taken.
-    fn new(clients: &'a Clients, id: u64, txn: String) -> Option<Self> {
+    fn new(clients: &'a Clients, id: u64, txn: String, call: Rc<Call>) -> Option<Self> {
         let new = clients.open.borrow_mut().insert(txn.clone());
-        new.then(|| Waiting { clients, id, txn })
+        new.then(|| Waiting { clients, id, txn, call })
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         self.clients.open.borrow_mut().remove(&self.txn);
+        // At once, not when the driver comes to it: an attempt may be about to be written.
+        self.call.over.set(true);
         // For one that was answered the driver has forgotten the id, or knows it as ended.
         let _ = self.clients.tx.send(Msg::Gone(self.id));
     }
--- a/src/bin/woodgap/conn.rs
+++ b/src/bin/woodgap/conn.rs
@@ -1,16 +1,25 @@
-//! A client connection as the node sees it: what it waits for and since when.
+//! A client connection as the node sees it: what it waits for, since when, and whether its client is still there.
+//!
+//! The guarantee: a client's close or reset is noticed whatever lies in front of it. The library looks for it only
+//! while its own buffer is empty, so once a request is whole the connection reads on by itself, keeps what comes in
+//! a bounded buffer for the library, and drops what comes past that: such a connection ends with its answer. A
+//! client that only ends its sending can't be told from one that closed, and is taken to have gone
+//! (PROTOCOL: "when a client closes its connection, it has gone away").
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 /// The longest time from connecting, or from a later request's first byte, to the request's last:
 /// clients that say nothing or little hold a place that others need.
@@ -21,6 +30,12 @@
 /// that has not said a word since it was opened after the shorter one.
 const SPARE_IDLE: Duration = Duration::from_secs(2);
 const SPARE_SILENT: Duration = Duration::from_millis(500);
+/// What is kept of what comes behind an open request: a client sends one at a time.
+const MOST_AHEAD: usize = 16 * 1024;
+/// After its last answer a connection is read for this long, or for as many bytes: a close over what is
+/// unread resets it, and takes an answer with it that is still on its way.
+const LINGER: Duration = Duration::from_millis(500);
+const MOST_UNREAD: usize = 1 << 20;
 
 /// What a connection is about.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -39,6 +54,7 @@
 
 /// The state of a connection, shared by its socket, its service and the look-over.
 pub struct Conn {
+    stream: TcpStream,
     phase: Cell<Phase>,
     since: Cell<Instant>,
     /// Whether it is closed at once, or with the answer to the request that may be open.
@@ -48,28 +64,46 @@
     pub close: Notify,
     /// When the first request must have come.
     first_by: Instant,
+    /// The open request is whole: what comes now is not part of it.
+    whole: Cell<bool>,
+    became_whole: Notify,
+    /// What was read behind the open request, and whether more came than is kept.
+    ahead: RefCell<BytesMut>,
+    overrun: Cell<bool>,
 }
 
 impl Conn {
-    pub fn new(first: Duration) -> Rc<Self> {
+    pub fn new(stream: TcpStream, first: Duration) -> Rc<Self> {
         let now = Instant::now();
         Rc::new(Conn {
+            stream,
             phase: Cell::new(Phase::New),
             since: Cell::new(now),
             abrupt: Cell::new(false),
             requests: Cell::new(0),
             close: Notify::new(),
             first_by: now + first,
+            whole: Cell::new(false),
+            became_whole: Notify::new(),
+            ahead: RefCell::default(),
+            overrun: Cell::new(false),
         })
     }
 
     pub fn enter(&self, phase: Phase) {
+        self.whole.set(false);
         if self.phase.get() != Phase::Closing {
             self.phase.set(phase);
             self.since.set(Instant::now());
         }
     }
 
+    /// The open request has come whole.
+    pub fn is_whole(&self) {
+        self.whole.set(true);
+        self.became_whole.notify_one();
+    }
+
     /// A head has come whole; tells by when its body must have.
     pub fn opened(&self) -> Instant {
         let by = match self.phase.get() {
@@ -87,8 +121,35 @@
         self.requests.get() == 1
     }
 
+    /// Whether nothing was answered on it.
+    pub fn is_unanswered(&self) -> bool {
+        self.requests.get() == 0
+    }
+
+    /// Whether more came behind the open request than is kept: no other one is read on the connection.
+    pub fn is_overrun(&self) -> bool {
+        self.overrun.get()
+    }
+
+    /// Whether bytes wait that nobody has read: a request may have come whole since its task last ran.
+    pub fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        !self.ahead.borrow().is_empty()
+            || SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|count| count > 0)
+    }
+
+    /// Whether closing it for its place takes no request along that has come.
+    pub fn gives_way(&self) -> bool {
+        self.phase.get() == Phase::Closing || !self.has_unread()
+    }
+
+    /// Whether it may be closed between two requests: nothing of a next one has come.
+    pub fn is_resting(&self) -> bool {
+        self.phase.get() == Phase::Idle && !self.has_unread()
+    }
+
     /// Whether a request has taken too long to come, or none has come for long.
-    pub fn overdue(&self) -> bool {
+    pub fn is_overdue(&self) -> bool {
         match self.phase.get() {
             Phase::New => Instant::now() > self.first_by,
             Phase::Head => self.since.get().elapsed() > SLOW,
@@ -102,6 +163,8 @@
         let after = match self.phase.get() {
             Phase::New => SPARE_SILENT,
             Phase::Idle => SPARE_IDLE,
+            // What came last was answered: it only waits for its client's close.
+            Phase::Closing if !self.abrupt.get() => return f64::INFINITY,
             Phase::Head | Phase::Open | Phase::Closing => return 0.0,
         };
         self.since.get().elapsed().as_secs_f64() / after.as_secs_f64()
@@ -119,92 +182,138 @@
     pub fn is_abrupt(&self) -> bool {
         self.abrupt.get()
     }
+
+    /// Returns once the client of an open request has gone. Until then what comes is read, so that nothing hides
+    /// its end.
+    pub async fn client_left(&self) {
+        loop {
+            while !self.whole.get() {
+                self.became_whole.notified().await;
+            }
+            if self.stream.readable().await.is_err() {
+                return;
+            }
+            // The answer may have been given meanwhile: what comes now is the library's to read.
+            if !self.whole.get() {
+                continue;
+            }
+            let mut buffer = [0; 4096];
+            match self.stream.try_read(&mut buffer) {
+                Ok(0) => return,
+                Ok(count) => {
+                    let mut ahead = self.ahead.borrow_mut();
+                    if self.overrun.get() || ahead.len() + count > MOST_AHEAD {
+                        self.overrun.set(true);
+                    } else {
+                        ahead.extend_from_slice(&buffer[..count]);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Ends the sending and reads what is left until the client ends its own: within bounds of time and bytes, and
+    /// only what is there where the place is wanted at once.
+    pub async fn linger(&self) {
+        let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+        let drained = async {
+            let (mut left, mut buffer) = (MOST_UNREAD, [0; 4096]);
+            while left > 0 {
+                match self.stream.try_read(&mut buffer) {
+                    Ok(0) => return,
+                    Ok(count) => left = left.saturating_sub(count),
+                    Err(error) if error.kind() != io::ErrorKind::WouldBlock => return,
+                    Err(_) if self.is_abrupt() => return,
+                    Err(_) => tokio::select! {
+                        ready = self.stream.readable() => if ready.is_err() { return },
+                        () = self.close.notified() => {}
+                    },
+                }
+            }
+        };
+        let _ = timeout(LINGER, drained).await;
+    }
 }
 
 /// A client's socket, which tells its connection when a request begins to come.
-pub struct Socket {
-    stream: TcpStream,
-    conn: Rc<Conn>,
-}
+pub struct Socket(Rc<Conn>);
 
 impl Socket {
-    pub fn new(stream: TcpStream, conn: Rc<Conn>) -> Self {
-        Socket { stream, conn }
+    pub fn new(conn: Rc<Conn>) -> Self {
+        Socket(conn)
     }
-}
 
-impl AsyncRead for Socket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+    fn write(
+        &self,
         cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let ready = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && self.conn.phase.get() == Phase::Idle {
-            self.conn.enter(Phase::Head);
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match write(&self.0.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
         }
-        ready
     }
 }
 
-impl AsyncWrite for Socket {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+impl AsyncRead for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let conn = &self.0;
+        let mut ahead = conn.ahead.borrow_mut();
+        let count = if ahead.is_empty() {
+            loop {
+                ready!(conn.stream.poll_read_ready(cx))?;
+                match conn.stream.try_read(buf.initialize_unfilled()) {
+                    Ok(count) => {
+                        buf.advance(count);
+                        break count;
+                    }
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Poll::Ready(Err(error)),
+                }
+            }
+        } else {
+            let count = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..count]);
+            ahead.advance(count);
+            count
+        };
+        if count > 0 && conn.phase.get() == Phase::Idle {
+            conn.enter(Phase::Head);
+        }
+        Poll::Ready(Ok(()))
     }
+}
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.write(cx, |stream| stream.try_write(data))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        self.write(cx, |stream| stream.try_write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    // Those who say nothing give way first, those with a request open never.
-    #[tokio::test(start_paused = true)]
-    async fn what_nothing_is_open_on_gives_way() {
-        let conn = Conn::new(SLOW);
-        let may_close_after = |conn: &Rc<Conn>| {
-            let conn = conn.clone();
-            async move {
-                for tenths in 0..100 {
-                    if conn.spare() >= 1.0 {
-                        return Some(tenths);
-                    }
-                    tokio::time::advance(Duration::from_millis(100)).await;
-                }
-                None
-            }
-        };
-        assert_eq!(may_close_after(&conn).await, Some(5));
-        conn.opened();
-        assert!(conn.is_first());
-        assert_eq!(may_close_after(&conn).await, None);
-        assert!(!conn.overdue());
-        conn.enter(Phase::Idle);
-        assert_eq!(may_close_after(&conn).await, Some(20));
-        conn.enter(Phase::Head);
-        tokio::time::advance(SLOW + Duration::from_millis(1)).await;
-        assert!(conn.overdue());
-        conn.shut(true);
-        assert_eq!(may_close_after(&conn).await, None);
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -42,9 +42,13 @@
     IdleBroken,
     /// Probes that were sent.
     Probes,
+    /// Client connections that the node closed with nothing answered on them, and requests that took too long
+    /// to come.
+    ClosedUnasked,
+    TooSlow,
 }
 
-const COUNTS: [(Count, &str); 26] = [
+const COUNTS: [(Count, &str); 28] = [
     (Count::Requests, "requests"),
     (Count::Served, "served"),
     (Count::RefusedUntried, "refused_untried"),
@@ -71,6 +75,8 @@
     (Count::IdleEvicted, "idle_evicted"),
     (Count::IdleBroken, "idle_broken"),
     (Count::Probes, "probes"),
+    (Count::ClosedUnasked, "closed_unasked"),
+    (Count::TooSlow, "too_slow"),
 ];
 
 /// The counts so far.
@@ -120,17 +126,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn each_count_has_its_own_name_and_place() {
-        for (place, (what, name)) in COUNTS.into_iter().enumerate() {
-            assert_eq!(what as usize, place, "{name}");
-        }
-        let counts = Counts::default();
-        counts.outcome(Outcome::Reset);
-        counts.add(Count::Requests, 3);
-        assert_eq!(counts.to_string(), "requests=3 reset=1");
-    }
-}
+mod tests;
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -220,9 +220,15 @@
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
                         let request = txn(&held.call);
-                        self.servers.counts.one(Count::Late);
                         tracing::warn!(request, "not answered by its deadline");
-                        let _ = reply.send(Answer::Late);
+                        // What no server has seen may be asked again without harm.
+                        let (count, answer) = match held.call.written.get() {
+                            true => (Count::Late, Answer::Late),
+                            false => (Count::RefusedUntried, Answer::Refused(None)),
+                        };
+                        self.servers.counts.one(count);
+                        let _ = reply.send(answer);
+                        held.call.over.set(true);
                         self.events.push_back(Event::Lapsed(request_id(id)));
                         // One with no attempt out ends here; nothing else would forget it.
                         self.forget(id);
@@ -266,6 +272,10 @@
     fn request(&mut self, arrival: Arrival) {
         let Arrival { id, class, tenant, key, repeat, cost, deadline, call, reply } = arrival;
         self.servers.counts.one(Count::Requests);
+        if call.over.get() {
+            // It left while it waited here: the module never hears of it.
+            return self.servers.counts.one(Count::Gone);
+        }
         let patience = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let overdue = self.due.insert_at(Due::Overdue(id), deadline + OVERDUE);
         self.held.insert(
@@ -292,6 +302,7 @@
                 (Answer::Late, _) => Count::Late,
             });
             let _ = reply.send(answer);
+            held.call.over.set(true);
         }
         self.forget(id);
     }
@@ -380,7 +391,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, limit } => self.send(number(&id), server, limit),
+            Action::Send { id, server, limit, begin_within } => {
+                self.send(number(&id), server, limit, begin_within);
+            }
             Action::Cancel { id, attempt } => self.cancel(number(&id), attempt),
             Action::Refuse { id, retry_after } => {
                 let wait = (retry_after > 0).then(|| Duration::from_micros(retry_after));
@@ -409,11 +422,13 @@
         }
     }
 
-    fn send(&mut self, id: u64, server: ServerId, limit: Micros) {
+    fn send(&mut self, id: u64, server: ServerId, limit: Micros, begin_within: Option<Micros>) {
         let now = Instant::now();
         let held = self.held.get_mut(&id);
         let attempt = held.as_ref().map_or(0, |held| held.attempts.len());
-        let lawful = held.filter(|h| h.reply.is_some() && attempt < self.max_attempts && now < h.deadline);
+        let lawful = held
+            .filter(|h| h.reply.is_some() && !h.call.over.get())
+            .filter(|h| attempt < self.max_attempts && now < h.deadline);
         let Some(held) = lawful else {
             // Nothing goes out for what is over.
             let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
@@ -429,11 +444,12 @@
             0 => held.deadline,
             limit => held.deadline.min(now + Duration::from_micros(limit)),
         };
+        let begin_by = begin_within.map_or(until, |within| until.min(now + Duration::from_micros(within)));
         let (servers, call, tx) = (self.servers.clone(), held.call.clone(), self.tx.clone());
         let attempt = attempt as u32;
         let (rests, acted_on) = self.witness.as_ref().map(Witness::decide).unzip();
         let task = AbortOnDrop::spawn(async move {
-            let ended = servers.attempt(server, &call, until, acted_on.flatten().as_ref()).await;
+            let ended = servers.attempt(server, &call, until, begin_by, acted_on.flatten().as_ref()).await;
             let _ = tx.send(Msg::Closed { id, attempt, ended });
         });
         held.attempts.push(Some(Out { server, sent: now, _task: task, _rests: rests }));
--- a/src/bin/woodgap/exchange.rs
+++ b/src/bin/woodgap/exchange.rs
@@ -44,6 +44,16 @@
     pub target: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// It has its answer, or its client is gone: nothing of it that is not written goes out.
+    pub over: Cell<bool>,
+    /// Something of it was written to a server.
+    pub written: Cell<bool>,
+}
+
+impl Call {
+    pub fn new(method: Method, target: Uri, headers: HeaderMap, body: Bytes) -> Self {
+        Call { method, target, headers, body, over: Cell::new(false), written: Cell::new(false) }
+    }
 }
 
 /// A socket that the library's connection reads and the node looks at before it is used again.
@@ -210,17 +220,8 @@
     if framings == [true, true] || upgraded || incoming.size_hint().lower() > LONGEST_BODY as u64 {
         return None;
     }
-    if framings == [false, false] && !incoming.is_end_stream() {
-        // Its end is the connection's, which does not prove that it is whole. Only what the head
-        // says by itself counts.
-        let (status, headers, body) = (head.status, head.headers, Bytes::new());
-        return (status != StatusCode::OK).then_some(Exchange::Answer {
-            status,
-            headers,
-            body,
-            reusable: false,
-        });
-    }
+    // Without a length its end is the connection's: an orderly one ends it, a reset is an error below.
+    let reusable = framings != [false, false] || incoming.is_end_stream();
     let mut body = BytesMut::new();
     while let Some(frame) = timeout(STALL, incoming.frame()).await.ok()? {
         let Ok(data) = frame.ok()?.into_data() else { continue };
@@ -230,7 +231,7 @@
         body.extend_from_slice(&data);
     }
     let (status, headers, body) = (head.status, head.headers, body.freeze());
-    Some(Exchange::Answer { status, headers, body, reusable: true })
+    Some(Exchange::Answer { status, headers, body, reusable })
 }
 
 /// The request as it goes to a server.
@@ -279,38 +280,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_the_header_proves_that_a_request_was_turned_away() {
-        let mut headers = HeaderMap::new();
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Error);
-        headers.insert("x-turned-away", HeaderValue::from_static("1"));
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::GATEWAY_TIMEOUT, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &headers), Outcome::Error);
-        assert_eq!(outcome(StatusCode::OK, &headers), Outcome::Ok);
-    }
-
-    #[test]
-    fn a_report_is_read_whole_or_not_at_all() {
-        let fields = ["queue".to_owned(), "util".to_owned()];
-        let read = |text: &'static str| {
-            let mut headers = HeaderMap::new();
-            headers.insert("x-pressure", HeaderValue::from_static(text));
-            load(&headers, &fields)
-        };
-        assert_eq!(read(r#"{"util":0.5,"queue":3,"more":1}"#), [3.0, 0.5]);
-        for odd in [
-            r#"{"queue":3}"#,
-            r#"{"queue":3,"util":-1}"#,
-            r#"{"queue":3,"util":1e99}"#,
-            r#"{"queue":3,"util":NaN}"#,
-            r#"{"queue":3,"util":0."#,
-            "[3,0.5]",
-        ] {
-            assert!(read(odd).is_empty(), "{odd}");
-        }
-    }
-}
+mod tests;
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -250,12 +250,14 @@
 
     // Attempts.
 
-    /// Sends a request and tells how it ended. Dropped, it closes its connection.
+    /// Sends a request and tells how it ended; unsent where it could not be written by `begin_by`. Dropped, it
+    /// closes its connection.
     pub async fn attempt(
         &self,
         server: ServerId,
         call: &Call,
         until: Instant,
+        begin_by: Instant,
         acted_on: Option<&HeaderValue>,
     ) -> Ended {
         loop {
@@ -263,10 +265,14 @@
             let (mut link, reused) = match self.idle_link(server) {
                 Some(link) => (link, true),
                 None => {
-                    let connected = until.min(Instant::now() + self.figures.dial_timeout);
+                    let connected = begin_by.min(Instant::now() + self.figures.dial_timeout);
                     match timeout_at(connected, self.dial(addr, epoch)).await {
                         Ok(Ok(link)) => (link, false),
                         Ok(Err(_)) => return Outcome::ConnectFailed.into(),
+                        // It was not given its time: no word on the server.
+                        Err(_) if begin_by < until && Instant::now() >= begin_by => {
+                            return Outcome::Moot.into();
+                        }
                         Err(_) => {
                             self.counts.one(Count::DialSilent);
                             return Outcome::ConnectFailed.into();
@@ -280,6 +286,11 @@
                 }
                 return Outcome::ConnectFailed.into();
             }
+            // Its client may have gone meanwhile, or its time to begin may be over.
+            if call.over.get() || (begin_by < until && Instant::now() >= begin_by) {
+                self.keep(server, link);
+                return Outcome::Moot.into();
+            }
             // The list may have changed meanwhile.
             match self.address(server) {
                 Some((_, now)) if now != link.epoch => continue,
@@ -289,6 +300,7 @@
                     return Outcome::ConnectFailed.into();
                 }
             }
+            call.written.set(true);
             match timeout_at(until, link.exchange(request(call, addr, until, acted_on))).await {
                 // One that began to answer is there; only the answer is no good.
                 Err(_) if link.heard() => return Outcome::Error.into(),
@@ -317,16 +329,12 @@
 
     /// Probes a server.
     pub async fn probe(&self, server: ServerId) -> Ended {
-        let call = Call {
-            method: Method::GET,
-            target: Uri::from_static("/-/healthy"),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-        };
+        let target = Uri::from_static("/-/healthy");
+        let call = Call::new(Method::GET, target, HeaderMap::new(), Bytes::new());
         self.counts.one(Count::Probes);
         // A probe waits like a request, but not like a patient one.
         let until = Instant::now() + self.figures.dial_timeout * 2;
-        self.attempt(server, &call, until, None).await
+        self.attempt(server, &call, until, until, None).await
     }
 }
 
@@ -334,147 +342,4 @@
 pub const TIDY: Duration = Duration::from_millis(500);
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::task::{spawn_local, LocalSet};
-    use woodgap::list::Entry as Listed;
-
-    fn servers(sockets: usize) -> Rc<Servers> {
-        let figures = Figures {
-            dial_timeout: Duration::from_secs(20),
-            keepalive: Duration::from_secs(600),
-            drain_grace: Duration::from_millis(500),
-            open_cap: 10,
-            report: vec!["queue".into(), "util".into()],
-        };
-        Servers::new(figures, Budget::new(sockets))
-    }
-
-    fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
-        let (id, zone) = ("s-1".into(), "a".into());
-        let entry = Listed { id, addr, zone, cell: 0, state, size: 1.0, up_since_ms: 0 };
-        List { revision: None, complete, entries: vec![entry] }
-    }
-
-    fn call() -> Call {
-        let (headers, body) = (HeaderMap::new(), Bytes::new());
-        Call { method: Method::POST, target: Uri::from_static("/api"), headers, body }
-    }
-
-    /// A server that answers each request with its name, and sends none if that is empty.
-    async fn named(name: &'static str) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        spawn_local(async move {
-            loop {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                spawn_local(async move {
-                    let mut buffer = [0; 4096];
-                    while stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {
-                        let length = name.len();
-                        let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{name}");
-                        if !name.is_empty() && stream.write_all(reply.as_bytes()).await.is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        addr
-    }
-
-    fn soon() -> Instant {
-        Instant::now() + Duration::from_secs(20)
-    }
-
-    // A server that left the list and came back elsewhere must not be served by a connection from
-    // before, which leads to another process.
-    #[tokio::test]
-    async fn connections_from_before_a_return_are_not_used() {
-        let run = async {
-            let servers = servers(8);
-            let (old, new) = (named("old").await, named("new").await);
-            let (_, members) = servers.apply(&list(old, ServerState::InService, true));
-            let server = members[0].server;
-            assert_eq!(servers.attempt(server, &call(), soon(), None).await.answer.unwrap().1, "old");
-            tokio::time::sleep(SETTLE * 2).await;
-            let link = servers.idle_link(server).expect("kept");
-            servers.apply(&list(old, ServerState::Terminated, false));
-            assert_eq!(servers.attempt(server, &call(), soon(), None).await.outcome, Outcome::ConnectFailed);
-            servers.apply(&list(new, ServerState::InService, false));
-            servers.keep(server, link);
-            assert_eq!(servers.attempt(server, &call(), soon(), None).await.answer.unwrap().1, "new");
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // A machine that vanished is silent on open connections: after a time-out the idle ones must go.
-    #[tokio::test]
-    async fn a_timeout_closes_idle_connections() {
-        let run = async {
-            let servers = servers(8);
-            let addr = named("").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
-            let (_, epoch) = servers.address(server).unwrap();
-            for _ in 0..2 {
-                let link = servers.dial(addr, epoch).await.unwrap();
-                servers.keep(server, link);
-            }
-            let until = Instant::now() + Duration::from_millis(50);
-            assert_eq!(servers.attempt(server, &call(), until, None).await.outcome, Outcome::Timeout);
-            assert!(servers.idle_link(server).is_none());
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // Rule 3: what waited for its connection must not be written once the server drains for long.
-    #[tokio::test]
-    async fn nothing_is_written_to_a_server_that_drains_for_long() {
-        let run = async {
-            let servers = servers(8);
-            let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
-            servers.apply(&list(addr, ServerState::Terminating, false));
-            tokio::time::pause();
-            tokio::time::advance(Duration::from_millis(400)).await;
-            let ended = servers.attempt(server, &call(), soon(), None).await;
-            assert_eq!(ended.outcome, Outcome::ConnectFailed);
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // Sockets are spent on requests before idle connections.
-    #[tokio::test]
-    async fn idle_connections_make_room() {
-        let run = async {
-            let servers = servers(1);
-            let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
-            assert_eq!(servers.attempt(server, &call(), soon(), None).await.outcome, Outcome::Ok);
-            let permit = servers.permit().await;
-            assert!(permit.is_some());
-            assert_eq!(servers.attempt(server, &call(), soon(), None).await.outcome, Outcome::ConnectFailed);
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // A machine that took over another's address must not get what is meant for the old one.
-    #[tokio::test]
-    async fn nothing_is_written_to_a_server_whose_address_another_has() {
-        let run = async {
-            let servers = servers(8);
-            let addr = named("x").await;
-            let old = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
-            assert_eq!(servers.attempt(old, &call(), soon(), None).await.outcome, Outcome::Ok);
-            let mut change = list(addr, ServerState::InService, false);
-            change.entries[0].id = "s-2".into();
-            let new = servers.apply(&change).1[0].server;
-            assert!(servers.idle_link(old).is_none());
-            assert_eq!(servers.attempt(old, &call(), soon(), None).await.outcome, Outcome::ConnectFailed);
-            assert_eq!(servers.attempt(new, &call(), soon(), None).await.outcome, Outcome::Ok);
-        };
-        LocalSet::new().run_until(run).await;
-    }
-}
+mod tests;
--- a/src/brain/request.rs
+++ b/src/brain/request.rs
@@ -78,6 +78,7 @@
         let Some(target) = target else { return self.conclude(id, out) };
         let now = self.now;
         let limit = self.attempt_limit(&self.requests[&id]);
+        let begin_within = self.window(&self.requests[&id]).map(|end| end - now);
         let server = &mut self.servers[target];
         if server.inflight == 0 {
             server.quiet_since = now;
@@ -89,7 +90,7 @@
         self.inflight += 1;
         self.mood.sends += 1.0;
         let member = server.member.clone();
-        out.push(Action::Send { id, server: member.server, limit });
+        out.push(Action::Send { id, server: member.server, limit, begin_within });
         let pending = self.requests.get_mut(&id).expect("held");
         pending.attempts.push(Attempt { member, sent: now, fate: Fate::Out });
     }
--- a/src/brain/retry.rs
+++ b/src/brain/retry.rs
@@ -45,15 +45,23 @@
         {
             return false;
         }
-        let first = pending.attempts.iter().find(|a| a.fate != Fate::NeverRan);
-        match (self.settings.classes[pending.class].semantics, first) {
-            (Semantics::Safe, _) | (_, None) => true,
-            (Semantics::Unsafe, Some(_)) => false,
-            // A margin for the way to the server.
-            (Semantics::Keyed { ttl, .. }, Some(a)) => self.now < a.sent + ttl - ttl / 10,
+        let ran = pending.attempts.iter().any(|a| a.fate != Fate::NeverRan);
+        match self.settings.classes[pending.class].semantics {
+            Semantics::Safe => true,
+            Semantics::Unsafe => !ran,
+            Semantics::Keyed { .. } => self.window(pending).is_none_or(|end| self.now < end),
         }
     }
 
+    /// When repeats of a keyed request that may have run have to be on their way, less a margin for that way.
+    pub(super) fn window(&self, pending: &Pending) -> Option<Micros> {
+        let Semantics::Keyed { ttl, .. } = self.settings.classes[pending.class].semantics else {
+            return None;
+        };
+        let first = pending.attempts.iter().find(|a| a.fate != Fate::NeverRan)?;
+        Some(first.sent + ttl - ttl / 10)
+    }
+
     pub(super) fn may_refuse(&self, pending: &Pending) -> bool {
         match self.settings.classes[pending.class].semantics {
             Semantics::Safe | Semantics::Keyed { scope: KeyScope::All, .. } => true,
--- a/tests/decisions/sending.rs
+++ b/tests/decisions/sending.rs
@@ -262,3 +262,48 @@
         "{actions:?}"
     );
 }
+
+// Guards against an effect that happens twice: servers drop a keyed repeat only within their window, so a repeat
+// says by when it has to be on its way, counted from the first attempt that may have run.
+#[test]
+fn a_keyed_repeat_has_to_begin_within_its_window() {
+    let begin = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { begin_within, .. } => Some(*begin_within),
+            _ => None,
+        })
+    };
+    for (class, outcome, spent) in [
+        (KEYED_ALL, Outcome::Error, 300_000),
+        (KEYED_CELL, Outcome::Reset, 500_000),
+        (KEYED_ALL, Outcome::Timeout, 899_999),
+    ] {
+        let mut node = Node::fleet(8);
+        let actions = node.ask(1, class, 5);
+        assert_eq!(begin(&actions), Some(None), "nothing has run yet");
+        let server = sent(&actions).unwrap();
+        node.now += spent;
+        let actions = node.close_after(1, 0, server, outcome, spent);
+        assert_eq!(begin(&actions), Some(Some(900_000 - spent)), "{outcome:?}");
+    }
+    // One that never ran opens no window; the one after it does.
+    let mut node = Node::fleet(8);
+    let first = node.place(1, KEYED_ALL, 5);
+    node.now += 200_000;
+    let actions = node.close_after(1, 0, first, Outcome::Full, 200_000);
+    assert_eq!(begin(&actions), Some(None));
+    let second = sent(&actions).unwrap();
+    node.now += 100_000;
+    let actions = node.close_after(1, 1, second, Outcome::Error, 100_000);
+    assert_eq!(begin(&actions), Some(Some(800_000)));
+    // Past it nothing goes out.
+    let mut node = Node::fleet(8);
+    let server = node.place(1, KEYED_ALL, 5);
+    node.now += 900_000;
+    let actions = node.close_after(1, 0, server, Outcome::Timeout, 900_000);
+    assert!(sent(&actions).is_none() && refused(&actions), "{actions:?}");
+    // Safe ones may begin at any time.
+    let mut node = Node::fleet(8);
+    let server = node.place(1, SAFE, 5);
+    assert_eq!(begin(&node.close(1, 0, server, Outcome::Error)), Some(None));
+}
--- a/tests/node/site.rs
+++ b/tests/node/site.rs
@@ -60,6 +60,9 @@
     Break,
     /// Promises more of a body than it sends.
     BreakHalfway,
+    /// Answers these bytes and ends the connection: orderly, or by a reset.
+    RawAndEnd(&'static str),
+    RawAndReset(&'static str),
     /// Answers nothing.
     Hang,
     /// Answers nothing to requests of this class, and serves the others.
@@ -108,13 +111,20 @@
                             served
                         }
                         Does::Raw(text, times) => text.repeat(times),
+                        Does::RawAndEnd(text) | Does::RawAndReset(text) => text.to_owned(),
                         Does::Answer(head) => format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"),
                         Does::BreakHalfway => "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nabc".to_owned(),
                         Does::Break => return,
                         Does::Hang | Does::Hold => continue,
                     };
                     let _ = output.write_all(reply.as_bytes());
-                    if matches!(does, Does::BreakHalfway | Does::ServeAndClose) {
+                    if matches!(does, Does::RawAndReset(_)) {
+                        reset(&output);
+                    }
+                    if matches!(
+                        does,
+                        Does::BreakHalfway | Does::ServeAndClose | Does::RawAndEnd(_) | Does::RawAndReset(_)
+                    ) {
                         break;
                     }
                 }
@@ -126,6 +136,28 @@
     addr
 }
 
+/// Has a connection end by a reset once it is dropped.
+pub fn reset(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// An address whose connections never come up, for as long as what comes with it is held: its backlog is full.
+pub fn silent() -> (SocketAddr, impl Drop) {
+    struct Held(#[allow(dead_code)] Vec<TcpStream>, #[allow(dead_code)] socket2::Socket);
+    impl Drop for Held {
+        fn drop(&mut self) {}
+    }
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(1).unwrap();
+    let addr = listener.local_addr().unwrap().as_socket().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(200)) {
+        queued.push(stream);
+    }
+    (addr, Held(queued, listener))
+}
+
 /// Discovery: hands each watch to the test, which writes what it likes.
 pub fn discovery(watches: Sender<(Message, TcpStream)>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -277,6 +309,16 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// Holds the node still while `meanwhile` runs: what happens there meets it in one moment.
+    pub fn stopped<T>(&self, meanwhile: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.node.id());
+        until("it stands still", || std::fs::read_to_string(&stat).unwrap().contains(") T "));
+        let met = meanwhile();
+        self.signal("-CONT");
+        met
+    }
+
     /// Replaces the configuration and says so.
     pub fn reload(&self, text: &str) {
         std::fs::write(self.file.path(), text).unwrap();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -97,7 +97,7 @@
     fn check(&mut self, action: Action) {
         let now = self.node.now;
         match action {
-            Action::Send { id, server, limit } => {
+            Action::Send { id, server, limit, .. } => {
                 let member = self.members.get(&server.0).expect("on the list").clone();
                 assert_eq!(member.state, ServerState::InService, "drains are kept");
                 let n = Self::number(id);
