Ask a shared discovery one call at a time, and send nothing unsent to a draining server

Logs of one node (woodgap::discovery=debug): calls answered 503 within 7 ms while the queue was full, the others after 1.9 s.

Cause: keep.rs made a try every 500 ms beside up to three that were still out, right for an agent that answers one node, and wrong for a service that serves calls of all nodes in turn: the turns went to calls that were thrown away.

Change: a service has one call of a node out at a time, for as long as a silence, and pauses drawn from 0.25 to 1 s after one that failed.

And what waits for its connection is no longer written to a server that began to drain in between (servers.rs let it for half of the time for drains).

--- a/src/bin/woodgap/discovery/mod.rs
+++ b/src/bin/woodgap/discovery/mod.rs
@@ -20,6 +20,7 @@
 use woodgap::list::List;
 
 use crate::task::AbortOnDrop;
+pub use keep::Answerer;
 use keep::Feed;
 use lists::{Item, Lists};
 
@@ -28,8 +29,14 @@
 
 /// Watches from a revision on, for as long as it is polled, and hands on what comes. `grace` is the time in
 /// which sends to a draining server have to cease.
-pub async fn watch(addr: SocketAddr, revision: u64, grace: Duration, tell: impl FnMut(List)) {
-    keep::keep(&addr, |revision| open(addr, revision), revision, grace, tell).await;
+pub async fn watch(
+    addr: SocketAddr,
+    revision: u64,
+    grace: Duration,
+    answerer: Answerer,
+    tell: impl FnMut(List),
+) {
+    keep::keep(&addr, |revision| open(addr, revision), revision, grace, answerer, tell).await;
 }
 
 /// An open watch.
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::counts::Count;
-use crate::discovery::watch;
+use crate::discovery::{watch, Answerer};
 use crate::exchange::Call;
 use crate::peers::Peers;
 use crate::servers::{Ended, Servers, TIDY};
@@ -491,8 +491,13 @@
         self.watch += 1;
         let (number, tx, grace) = (self.watch, self.tx.clone(), self.servers.drain_grace());
         let (addr, revision) = (self.discovery, self.revision);
+        let answerer = match self.mode {
+            Discovery::Push => Answerer::Agent,
+            Discovery::Ask => Answerer::Service,
+        };
         self.watching = Some(AbortOnDrop::spawn(async move {
-            watch(addr, revision, grace, |list| drop(tx.send(Msg::News { watch: number, list }))).await;
+            watch(addr, revision, grace, answerer, |list| drop(tx.send(Msg::News { watch: number, list })))
+                .await;
         }));
     }
 }
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -46,8 +46,8 @@
     epoch: u64,
     /// The most recently used last.
     idle: Vec<Link>,
-    /// Since when it wants nothing new.
-    barred: Option<Instant>,
+    /// It wants nothing new.
+    draining: bool,
     /// Another server listens at its address now.
     replaced: bool,
 }
@@ -108,7 +108,7 @@
                 since_ms: entry.up_since_ms,
                 epoch: self.next_epoch(),
                 idle: Vec::new(),
-                barred: None,
+                draining: false,
                 replaced: false,
             });
             // A restarted process, or one that moved, knows nothing of the old connections.
@@ -118,10 +118,10 @@
                 known.idle.clear();
             }
             if entry.state == ServerState::InService {
-                (known.barred, known.replaced) = (None, false);
+                (known.draining, known.replaced) = (false, false);
                 in_service.push((server, entry.addr));
             } else {
-                known.barred.get_or_insert_with(Instant::now);
+                known.draining = true;
                 known.idle.clear();
             }
         }
@@ -148,13 +148,12 @@
         self.epochs.get()
     }
 
-    /// Where a server listens, unless it went or drains for so long that nothing may be sent.
-    /// Guards against a send that waited for its connection while the server began to drain.
+    /// Where a server listens, unless it went or drains. Guards against a send that waited for its connection
+    /// meanwhile: nothing of it has run, so it goes elsewhere at once.
     fn address(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
         let entries = self.entries.borrow();
         let entry = entries.get(&server)?;
-        let late = entry.barred.is_some_and(|since| since.elapsed() > self.figures.drain_grace / 2);
-        (!late && !entry.replaced).then_some((entry.addr, entry.epoch))
+        (!entry.draining && !entry.replaced).then_some((entry.addr, entry.epoch))
     }
 
     /// The time in which sends to a draining server have to cease.
@@ -218,7 +217,7 @@
     fn keep(&self, server: ServerId, mut link: Link) {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&server) else { return };
-        let wanted = entry.barred.is_none() && !entry.replaced;
+        let wanted = !entry.draining && !entry.replaced;
         if entry.epoch == link.epoch && wanted && !link.is_closed() {
             link.idle_since = Instant::now();
             entry.idle.push(link);
--- a/src/bin/woodgap/servers/tests.rs
+++ b/src/bin/woodgap/servers/tests.rs
@@ -95,16 +95,14 @@
     LocalSet::new().run_until(run).await;
 }
 
-// Rule 3: what waited for its connection must not be written once the server drains for long.
+// Rule 3: what waited for its connection must not be written once the server drains.
 #[tokio::test]
-async fn nothing_is_written_to_a_server_that_drains_for_long() {
+async fn nothing_is_written_to_a_server_that_drains() {
     let run = async {
         let servers = servers(8);
         let addr = named("x").await;
         let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
         servers.apply(&list(addr, ServerState::Terminating, false));
-        tokio::time::pause();
-        tokio::time::advance(Duration::from_millis(400)).await;
         let ended = attempt(&servers, server, &call(), soon()).await;
         assert_eq!(ended.outcome, Outcome::ConnectFailed);
     };
@@ -159,6 +157,21 @@
     (addr, queued, listener)
 }
 
+/// Makes room in the backlog, so that connections come up with the system's next try; ends once one brings bytes.
+fn listen(queued: Vec<tokio::net::TcpStream>, listener: TcpListener) -> tokio::task::JoinHandle<()> {
+    drop(queued);
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut heard = Vec::new();
+            let _ = tokio::time::timeout(Duration::from_millis(50), stream.read_to_end(&mut heard)).await;
+            if !heard.is_empty() {
+                return;
+            }
+        }
+    })
+}
+
 // A client that goes while its attempt's connection comes up late: the connection is kept, nothing is written.
 #[tokio::test]
 async fn nothing_is_written_for_a_client_that_left_while_the_connection_came_up() {
@@ -173,22 +186,11 @@
         });
         tokio::task::yield_now().await;
         call.over.set(true);
-        // Room in the backlog: the connection comes up with the system's next try.
-        drop(queued);
-        let accepted = spawn_local(async move {
-            let mut heard = Vec::new();
-            loop {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                let _ = tokio::time::timeout(Duration::from_millis(50), stream.read_to_end(&mut heard)).await;
-                if !heard.is_empty() {
-                    return heard;
-                }
-            }
-        });
+        let heard = listen(queued, listener);
         assert_eq!(waiting.await.unwrap(), Outcome::Moot);
         assert!(!call.written.get());
         tokio::time::sleep(Duration::from_millis(50)).await;
-        assert!(!accepted.is_finished(), "something was written");
+        assert!(!heard.is_finished(), "something was written");
     };
     LocalSet::new().run_until(run).await;
 }
@@ -214,3 +216,32 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+// A change that ends sends to a server, be it a drain or a whole list without it, ends those too that wait for
+// their connection.
+#[tokio::test]
+async fn what_waits_for_its_connection_goes_by_the_newest_list() {
+    for change in ["drains", "is left out"] {
+        let run = async {
+            let servers = servers(8);
+            let (addr, queued, listener) = silent().await;
+            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            let call = Rc::new(call());
+            let waiting = spawn_local({
+                let (servers, call) = (servers.clone(), call.clone());
+                async move { attempt(&servers, server, &call, soon()).await.outcome }
+            });
+            tokio::task::yield_now().await;
+            servers.apply(&match change {
+                "drains" => list(addr, ServerState::Terminating, false),
+                _ => List { revision: None, complete: true, entries: Vec::new() },
+            });
+            let heard = listen(queued, listener);
+            assert_eq!(waiting.await.unwrap(), Outcome::ConnectFailed);
+            assert!(!call.written.get(), "{change}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            assert!(!heard.is_finished(), "something was written: {change}");
+        };
+        LocalSet::new().run_until(run).await;
+    }
+}
--- a/tests/node/list.rs
+++ b/tests/node/list.rs
@@ -47,13 +47,15 @@
 
 #[test]
 fn a_silent_watch_is_opened_anew_for_the_whole_list_though_tries_are_swallowed() {
-    let site = Site::new(2);
-    let mut silent = site.watch_from(41);
-    chunk(&mut silent, "\n");
-    let _swallowed = [site.watch_from(0), site.watch_from(0)];
-    let mut stream = site.watch_from(0);
-    chunk(&mut stream, &format!("{}\n", without_the_first(&site, 50)));
-    until_only(&site, &[1]);
+    for mode in ["ask", "push"] {
+        let site = Site::configured(2, json!({"sockets": 256}), |s| s["registry-mode"] = json!(mode));
+        let mut silent = site.watch_from(41);
+        chunk(&mut silent, "\n");
+        let _swallowed = [site.watch_from(0), site.watch_from(0)];
+        let mut stream = site.watch_from(0);
+        chunk(&mut stream, &format!("{}\n", without_the_first(&site, 50)));
+        until_only(&site, &[1]);
+    }
 }
 
 // A watch that sends half a list for ever says nothing either.
