Take bodies in chunks where nothing else says how long they are

Requests come there in all forms that HTTP/1.1 has, and request.rs turned away each body in chunks, since the library drops a Content-Length beside it without a trace.

Change: the connection reads the head once more with the library's own parser (httparse), where it is certain at which byte it began: the connection's first, or behind a request of known length with nothing after it. Chunks alone are taken and passed on with a length; with a length beside them, in another coding, or where the first byte is not certain, 411 as before. Where such a body ends only the library knows, so the connection ends with its answer. Why a request is turned away is in the log at debug.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -31,8 +31,8 @@
 use crate::witness::Witness;
 
 /// Most bytes and fields of a request's head.
-const LONGEST_HEAD: usize = 16 * 1024;
-const MOST_HEADERS: usize = 64;
+pub const LONGEST_HEAD: usize = 16 * 1024;
+pub const MOST_HEADERS: usize = 64;
 /// An answer must reach the client before it gives up: the client counts from its send, the node
 /// from its read, and the way back takes time too.
 pub const MARGIN: Duration = Duration::from_millis(12);
@@ -199,7 +199,9 @@
                     clients.handle(request, &state, body_by).await
                 };
                 let crowded = clients.budget.part() > if state.is_first() { CROWDED } else { FULL };
-                let ends = state.is_overrun() || clients.answer_by.get().is_some();
+                // Where a body in chunks ended, and so where a next request begins, only the library knows.
+                let ends =
+                    state.is_overrun() || state.is_chunked_alone() || clients.answer_by.get().is_some();
                 if !keep || crowded || ends {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -216,7 +218,12 @@
             let mut connection = std::pin::pin!(connection);
             loop {
                 tokio::select! {
-                    _ = connection.as_mut() => break false,
+                    ended = connection.as_mut() => {
+                        if let Err(error) = ended {
+                            tracing::debug!(%error, "a client's connection ended");
+                        }
+                        break false;
+                    }
                     // Dropped, the connection withdraws its request.
                     () = conn.client_left() => break true,
                     () = conn.close.notified() => {}
@@ -285,7 +292,10 @@
             "/api" => match self.call(request, conn, body_by).await {
                 Ok(response) => (response, true),
                 // Who sends what can't be used is not trusted with where its next request begins.
-                Err((status, why)) => (plain(status, why), false),
+                Err((status, why)) => {
+                    tracing::debug!(%status, why = why.trim_end(), "turned away");
+                    (plain(status, why), false)
+                }
             },
             _ => (plain(StatusCode::NOT_FOUND, "no such path\n"), false),
         }
@@ -298,7 +308,8 @@
         body_by: Instant,
     ) -> Result<Response<Full<Bytes>>, Fault> {
         let (parts, body) = request.into_parts();
-        let head = Head::read(parts, body.size_hint().lower(), &self.settings, &self.names)?;
+        let chunked = conn.is_chunked_alone();
+        let head = Head::read(parts, body.size_hint().lower(), chunked, &self.settings, &self.names)?;
         if self.held.get() >= self.open_cap {
             return Ok(self.refusal(Some(OVERFULL)));
         }
@@ -314,6 +325,7 @@
                 return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n"));
             }
         };
+        head.fits(&body)?;
         conn.is_whole();
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
--- a/src/bin/woodgap/conn.rs
+++ b/src/bin/woodgap/conn.rs
@@ -15,12 +15,15 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use framing::Framing;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
 
+mod framing;
+
 /// The longest time from connecting, or from a later request's first byte, to the request's last:
 /// clients that say nothing or little hold a place that others need.
 pub const SLOW: Duration = Duration::from_millis(2_500);
@@ -67,6 +70,8 @@
     /// The open request is whole: what comes now is not part of it.
     whole: Cell<bool>,
     became_whole: Notify,
+    /// How the bytes of a request are framed, as far as the library says nothing of it.
+    framing: RefCell<Framing>,
     /// What was read behind the open request, and whether more came than is kept.
     ahead: RefCell<BytesMut>,
     overrun: Cell<bool>,
@@ -85,6 +90,7 @@
             first_by: now + first,
             whole: Cell::new(false),
             became_whole: Notify::new(),
+            framing: RefCell::new(Framing::default()),
             ahead: RefCell::default(),
             overrun: Cell::new(false),
         })
@@ -92,6 +98,9 @@
 
     pub fn enter(&self, phase: Phase) {
         self.whole.set(false);
+        if phase == Phase::Idle {
+            self.framing.borrow_mut().next();
+        }
         if self.phase.get() != Phase::Closing {
             self.phase.set(phase);
             self.since.set(Instant::now());
@@ -111,11 +120,17 @@
             Phase::Head => self.since.get() + SLOW,
             _ => Instant::now() + SLOW,
         };
+        self.framing.borrow_mut().read();
         self.enter(Phase::Open);
         self.requests.set(self.requests.get().saturating_add(1));
         by
     }
 
+    /// Whether the open request's body is in chunks and nothing in its head says otherwise.
+    pub fn is_chunked_alone(&self) -> bool {
+        self.framing.borrow().chunked_alone
+    }
+
     /// Whether no other request came before the one that is open.
     pub fn is_first(&self) -> bool {
         self.requests.get() == 1
@@ -263,6 +278,7 @@
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let conn = &self.0;
+        let before = buf.filled().len();
         let mut ahead = conn.ahead.borrow_mut();
         let count = if ahead.is_empty() {
             loop {
@@ -282,6 +298,7 @@
             ahead.advance(count);
             count
         };
+        conn.framing.borrow_mut().take(&buf.filled()[before..]);
         if count > 0 && conn.phase.get() == Phase::Idle {
             conn.enter(Phase::Head);
         }
--- a/src/bin/woodgap/request.rs
+++ b/src/bin/woodgap/request.rs
@@ -24,6 +24,8 @@
 
 /// A request's head, read.
 pub struct Head {
+    /// Whether it may be repeated, and so has no body.
+    safe: bool,
     /// What the client calls it.
     pub txn: String,
     pub class: usize,
@@ -38,18 +40,27 @@
     pub headers: HeaderMap,
 }
 
+const MISFIT: &str = "the method or the body does not fit the class\n";
+
 fn bad(why: &'static str) -> Fault {
     (StatusCode::BAD_REQUEST, why)
 }
 
 impl Head {
-    /// Reads a head. `body` tells how much body there is at least.
-    pub fn read(head: Parts, body: u64, settings: &Settings, names: &Names) -> Result<Head, Fault> {
+    /// Reads a head. `body` tells how much body there is at least, `chunked` that it is in chunks and that nothing
+    /// says otherwise.
+    pub fn read(
+        head: Parts,
+        body: u64,
+        chunked: bool,
+        settings: &Settings,
+        names: &Names,
+    ) -> Result<Head, Fault> {
         let headers = &head.headers;
         // The library drops a Content-Length beside it without a trace, so the two can't be told
         // from one: such a request may hide another in its body.
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err((StatusCode::LENGTH_REQUIRED, "send a Content-Length, no Transfer-Encoding\n"));
+        if headers.contains_key(header::TRANSFER_ENCODING) && !chunked {
+            return Err((StatusCode::LENGTH_REQUIRED, "send a Content-Length, or chunks and nothing else\n"));
         }
         let twice = |count: usize| count > 1;
         if SINGLE.iter().any(|name| twice(headers.get_all(name).iter().count()))
@@ -86,7 +97,7 @@
         // Servers go by the method and the key: one that says something else than the class would be
         // repeated by the wrong rule.
         if (head.method == Method::GET) != safe || (safe && body > 0) {
-            return Err(bad("the method or the body does not fit the class\n"));
+            return Err(bad(MISFIT));
         }
         if headers.contains_key("idempotency-key") != keyed {
             return Err(bad("Idempotency-Key does not fit the class\n"));
@@ -106,7 +117,29 @@
         let txn = txn.to_owned();
         let mut headers = head.headers;
         drop_hop_headers(&mut headers);
-        Ok(Head { txn, class, tenant, patience, key, repeat, cost, method: head.method, target, headers })
+        Ok(Head {
+            safe,
+            txn,
+            class,
+            tenant,
+            patience,
+            key,
+            repeat,
+            cost,
+            method: head.method,
+            target,
+            headers,
+        })
+    }
+}
+
+impl Head {
+    /// Whether the body that came is one that such a request has.
+    pub fn fits(&self, body: &[u8]) -> Result<(), Fault> {
+        match self.safe && !body.is_empty() {
+            true => Err(bad(MISFIT)),
+            false => Ok(()),
+        }
     }
 }
 
--- a/tests/node/requests.rs
+++ b/tests/node/requests.rs
@@ -193,3 +193,42 @@
     assert!(site.requests().is_empty());
     assert_eq!(site.ask("pay", "2").status(), 200);
 }
+
+// The other framing that HTTP/1.1 has: a body in chunks goes on whole, with a length, however it comes.
+#[test]
+fn a_body_in_chunks_is_passed_on() {
+    let site = Site::new(1);
+    let plain = String::from_utf8(request("pay", "ID", 60_000)).unwrap();
+    let chunked = |id: &str, body: &str| {
+        let framed = format!("Transfer-Encoding: chunked\r\n\r\n{body}");
+        plain.replace("ID", id).replace("Content-Length: 5\r\n\r\nhello", &framed)
+    };
+    for (id, body) in
+        [("1", "5\r\nhello\r\n0\r\n\r\n"), ("2", "2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nX-T: z\r\n\r\n")]
+    {
+        let mut stream = site.dial();
+        // Byte by byte, behind a request with a length.
+        stream.write_all(&request("pay", &format!("before{id}"), 60_000)).unwrap();
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        assert_eq!(Message::read(&mut input).unwrap().status(), 200);
+        stream.set_nodelay(true).unwrap();
+        chunked(id, body).bytes().for_each(|byte| stream.write_all(&[byte]).unwrap());
+        let answer = Message::read(&mut input).unwrap();
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, id.as_bytes()));
+        let seen = site.requests();
+        let (_, request) = seen.last().unwrap();
+        assert_eq!((request.body.as_slice(), request.header("content-length")), (b"hello".as_slice(), "5"));
+        assert_eq!(request.header("transfer-encoding"), "");
+    }
+    // A safe request has no body, in whatever framing; a body without end is none.
+    let look = String::from_utf8(request("look", "3", 60_000)).unwrap();
+    let empty = look.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    assert_eq!(site.raw(empty.as_bytes()).status(), 200);
+    let body = look.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    assert_eq!(site.raw(body.as_bytes()).status(), 400);
+    site.requests();
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    assert_eq!(site.raw(chunked("4", &chunk.repeat(3)).as_bytes()).status(), 413);
+    assert_eq!(site.raw(chunked("5", "zz\r\n").as_bytes()).status(), 400);
+    assert!(site.requests().is_empty());
+}
