Read and write shared sockets in one place

Need: the connection to a client had got the same loops over a shared socket that the connection to a server has (conn.rs, exchange.rs), written twice.

Change: both use stream.rs. Nothing else; the tests of both sides pass unchanged.

--- a/src/bin/woodgap/conn.rs
+++ b/src/bin/woodgap/conn.rs
@@ -22,6 +22,8 @@
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
 
+use crate::stream;
+
 mod framing;
 
 /// The longest time from connecting, or from a later request's first byte, to the request's last:
@@ -259,20 +261,6 @@
     pub fn new(conn: Rc<Conn>) -> Self {
         Socket(conn)
     }
-
-    fn write(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
 }
 
 impl AsyncRead for Socket {
@@ -281,17 +269,7 @@
         let before = buf.filled().len();
         let mut ahead = conn.ahead.borrow_mut();
         let count = if ahead.is_empty() {
-            loop {
-                ready!(conn.stream.poll_read_ready(cx))?;
-                match conn.stream.try_read(buf.initialize_unfilled()) {
-                    Ok(count) => {
-                        buf.advance(count);
-                        break count;
-                    }
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(error) => return Poll::Ready(Err(error)),
-                }
-            }
+            ready!(stream::poll_read(&conn.stream, cx, buf))?
         } else {
             let count = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead[..count]);
@@ -308,7 +286,7 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write(data))
+        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write(data))
     }
 
     fn poll_write_vectored(
@@ -316,7 +294,7 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write_vectored(parts))
+        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/woodgap/exchange.rs
+++ b/src/bin/woodgap/exchange.rs
@@ -23,6 +23,7 @@
 use tokio::time::{timeout, Instant};
 use woodgap::Outcome;
 
+use crate::stream;
 use crate::task::{AbortOnDrop, Permit};
 use crate::witness::HEADER;
 
@@ -70,43 +71,18 @@
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let wire = &self.0;
-        loop {
-            ready!(wire.stream.poll_read_ready(cx))?;
-            match wire.stream.try_read(buf.initialize_unfilled()) {
-                Ok(count) => {
-                    let left = wire.left.get().checked_sub(count);
-                    let left = left.ok_or_else(|| io::Error::other("more than an answer may have"))?;
-                    wire.left.set(left);
-                    wire.heard.set(wire.heard.get() || count > 0);
-                    buf.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
-    }
-}
-
-impl Socket {
-    fn write(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
+        let count = ready!(stream::poll_read(&wire.stream, cx, buf))?;
+        let left = wire.left.get().checked_sub(count);
+        let left = left.ok_or_else(|| io::Error::other("more than an answer may have"))?;
+        wire.left.set(left);
+        wire.heard.set(wire.heard.get() || count > 0);
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write(data))
+        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write(data))
     }
 
     fn poll_write_vectored(
@@ -114,7 +90,7 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write_vectored(parts))
+        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod request;
 mod servers;
+mod stream;
 mod task;
 mod witness;
 
