Name estimates, pending requests and disconnects as the field does

Conn::is_whole set what it seemed to ask.

Change: LoadEstimate (field load), recent, listed; PendingRequest and Msg::Disconnected in the driver, counted as "disconnected"; set_whole; closed_unanswered for what was closed_unasked.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -127,8 +127,15 @@
         writeln!(out, "busiest node {busiest:.2} times the mean")?;
         const ATTEMPTS: [&str; 8] =
             ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"];
-        let ends =
-            ["served", "refused_untried", "refused_tried", "failed_untried", "failed_tried", "late", "gone"];
+        let ends = [
+            "served",
+            "refused_untried",
+            "refused_tried",
+            "failed_untried",
+            "failed_tried",
+            "late",
+            "disconnected",
+        ];
         let links = ["reused", "dialled", "dial_refused", "dial_silent", "no_socket"];
         let idle = ["idle_expired", "idle_freed", "idle_evicted", "idle_broken"];
         let requests = self.count("requests");
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -175,7 +175,7 @@
             // What has come since a task last ran may be all that was missing: that one has until the next look.
             let overdue = conns.values().filter(|conn| conn.is_overdue() && conn.gives_way());
             overdue.for_each(|conn| {
-                self.servers.counts.one(Count::TooSlow);
+                self.servers.counts.add(Count::TooSlow, usize::from(!conn.is_resting()));
                 conn.shut(true);
             });
         }
@@ -230,7 +230,7 @@
                 }
                 if conn.is_abrupt() {
                     if conn.is_unanswered() {
-                        self.servers.counts.one(Count::ClosedUnasked);
+                        self.servers.counts.one(Count::ClosedUnanswered);
                     }
                     break false;
                 }
@@ -326,7 +326,7 @@
             }
         };
         head.fits(&body)?;
-        conn.is_whole();
+        conn.set_whole();
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
         let deadline = self.answer_by.get().map_or(deadline, |by| deadline.min(by));
@@ -410,7 +410,7 @@
         // At once, not when the driver comes to it: an attempt may be about to be written.
         self.call.over.set(true);
         // For one that was answered the driver has forgotten the id, or knows it as ended.
-        let _ = self.clients.tx.send(Msg::Gone(self.id));
+        let _ = self.clients.tx.send(Msg::Disconnected(self.id));
     }
 }
 
--- a/src/bin/woodgap/conn.rs
+++ b/src/bin/woodgap/conn.rs
@@ -110,7 +110,7 @@
     }
 
     /// The open request has come whole.
-    pub fn is_whole(&self) {
+    pub fn set_whole(&self) {
         self.whole.set(true);
         self.became_whole.notify_one();
     }
--- a/src/bin/woodgap/conn/tests.rs
+++ b/src/bin/woodgap/conn/tests.rs
@@ -55,7 +55,7 @@
     assert!(!conn.gives_way() && !conn.is_resting());
     // What came behind an open request waits there too.
     conn.opened();
-    conn.is_whole();
+    conn.set_whole();
     tokio::select! {
         () = conn.client_left() => unreachable!("it is there"),
         () = async { while conn.ahead.borrow().is_empty() { tokio::task::yield_now().await } } => {}
@@ -74,7 +74,7 @@
     {
         let (conn, mut client) = pair().await;
         conn.opened();
-        conn.is_whole();
+        conn.set_whole();
         let flood = async {
             client.write_all(&vec![b'x'; bytes]).await.unwrap();
             drop(client);
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -19,7 +19,7 @@
     FailedUntried,
     FailedTried,
     Late,
-    Gone,
+    Disconnected,
     /// Attempts by their outcome.
     Ok,
     Error,
@@ -44,7 +44,7 @@
     Probes,
     /// Client connections that the node closed with nothing answered on them, and requests that took too long
     /// to come.
-    ClosedUnasked,
+    ClosedUnanswered,
     TooSlow,
 }
 
@@ -56,7 +56,7 @@
     (Count::FailedUntried, "failed_untried"),
     (Count::FailedTried, "failed_tried"),
     (Count::Late, "late"),
-    (Count::Gone, "gone"),
+    (Count::Disconnected, "disconnected"),
     (Count::Ok, "ok"),
     (Count::Error, "error"),
     (Count::Full, "full"),
@@ -75,7 +75,7 @@
     (Count::IdleEvicted, "idle_evicted"),
     (Count::IdleBroken, "idle_broken"),
     (Count::Probes, "probes"),
-    (Count::ClosedUnasked, "closed_unasked"),
+    (Count::ClosedUnanswered, "closed_unanswered"),
     (Count::TooSlow, "too_slow"),
 ];
 
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -60,7 +60,7 @@
 pub enum Msg {
     Request(Box<Arrival>),
     /// The client no longer waits.
-    Gone(u64),
+    Disconnected(u64),
     Closed {
         id: u64,
         attempt: u32,
@@ -95,7 +95,7 @@
 }
 
 /// A request until it is answered and nothing of it is out.
-struct Held {
+struct PendingRequest {
     /// `None` once it has its answer or its client is gone.
     reply: Option<oneshot::Sender<Answer>>,
     call: Rc<Call>,
@@ -116,7 +116,7 @@
 pub struct Driver {
     balancer: Balancer,
     clock: Clock,
-    held: HashMap<u64, Held>,
+    pending: HashMap<u64, PendingRequest>,
     due: DelayQueue<Due>,
     /// Events that carrying out actions has brought.
     events: VecDeque<Event>,
@@ -161,7 +161,7 @@
         Driver {
             balancer: Balancer::new(config.settings.clone(), config.seed),
             clock: Clock { start: Instant::now(), unix },
-            held: HashMap::new(),
+            pending: HashMap::new(),
             due: DelayQueue::new(),
             events: VecDeque::new(),
             servers,
@@ -218,18 +218,18 @@
                 }
             }
             Due::Overdue(id) => {
-                if let Some(held) = self.held.get_mut(&id) {
-                    if let Some(reply) = held.reply.take() {
-                        let request = txn(&held.call);
+                if let Some(pending) = self.pending.get_mut(&id) {
+                    if let Some(reply) = pending.reply.take() {
+                        let request = txn(&pending.call);
                         tracing::warn!(request, "not answered by its deadline");
                         // What no server has seen may be asked again without harm.
-                        let (count, answer) = match held.call.written.get() {
+                        let (count, answer) = match pending.call.written.get() {
                             true => (Count::Late, Answer::Late),
                             false => (Count::RefusedUntried, Answer::Refused(None)),
                         };
                         self.servers.counts.one(count);
                         let _ = reply.send(answer);
-                        held.call.over.set(true);
+                        pending.call.over.set(true);
                         self.events.push_back(Event::Lapsed(request_id(id)));
                         // One with no attempt out ends here; nothing else would forget it.
                         self.forget(id);
@@ -242,11 +242,11 @@
     fn take(&mut self, msg: Msg) {
         match msg {
             Msg::Request(arrival) => self.request(*arrival),
-            Msg::Gone(id) => {
-                let Some(held) = self.held.get_mut(&id) else { return };
-                if held.reply.take().is_some() {
-                    self.servers.counts.one(Count::Gone);
-                    self.due.remove(&held.overdue);
+            Msg::Disconnected(id) => {
+                let Some(pending) = self.pending.get_mut(&id) else { return };
+                if pending.reply.take().is_some() {
+                    self.servers.counts.one(Count::Disconnected);
+                    self.due.remove(&pending.overdue);
                     self.events.push_back(Event::Lapsed(request_id(id)));
                     self.forget(id);
                 }
@@ -275,13 +275,20 @@
         self.servers.counts.one(Count::Requests);
         if call.over.get() {
             // It left while it waited here: the module never hears of it.
-            return self.servers.counts.one(Count::Gone);
+            return self.servers.counts.one(Count::Disconnected);
         }
         let patience = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let overdue = self.due.insert_at(Due::Overdue(id), deadline + OVERDUE);
-        self.held.insert(
+        self.pending.insert(
             id,
-            Held { reply: Some(reply), call, deadline, overdue, attempts: Vec::new(), tried: false },
+            PendingRequest {
+                reply: Some(reply),
+                call,
+                deadline,
+                overdue,
+                attempts: Vec::new(),
+                tried: false,
+            },
         );
         let id = request_id(id);
         self.events.push_back(Event::Request(Request { id, patience, class, cost, repeat, tenant, key }));
@@ -289,12 +296,12 @@
 
     /// Answers a request, unless it has its answer.
     fn answer(&mut self, id: u64, answer: Answer) {
-        let Some(held) = self.held.get_mut(&id) else { return };
-        if let Some(reply) = held.reply.take() {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        if let Some(reply) = pending.reply.take() {
             if !matches!(answer, Answer::Late) {
-                self.due.remove(&held.overdue);
+                self.due.remove(&pending.overdue);
             }
-            self.servers.counts.one(match (&answer, held.tried) {
+            self.servers.counts.one(match (&answer, pending.tried) {
                 (Answer::Served(..), _) => Count::Served,
                 (Answer::Refused(_), false) => Count::RefusedUntried,
                 (Answer::Refused(_), true) => Count::RefusedTried,
@@ -303,27 +310,29 @@
                 (Answer::Late, _) => Count::Late,
             });
             let _ = reply.send(answer);
-            held.call.over.set(true);
+            pending.call.over.set(true);
         }
         self.forget(id);
     }
 
     /// Drops what is over.
     fn forget(&mut self, id: u64) {
-        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(Option::is_none);
-        if self.held.get(&id).is_some_and(over) {
-            self.held.remove(&id);
+        let over = |pending: &PendingRequest| {
+            pending.reply.is_none() && pending.attempts.iter().all(Option::is_none)
+        };
+        if self.pending.get(&id).is_some_and(over) {
+            self.pending.remove(&id);
         }
     }
 
     fn closed(&mut self, id: u64, attempt: u32, ended: Ended) {
-        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(pending) = self.pending.get_mut(&id) else { return };
         // One that was cancelled meanwhile has had its outcome.
-        let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let Some(out) = pending.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let Ended { outcome, load, answer } = ended;
         self.servers.counts.outcome(outcome);
         tracing::debug!(
-            request = txn(&held.call),
+            request = txn(&pending.call),
             attempt,
             server = self.servers.name(out.server),
             ?outcome,
@@ -333,7 +342,7 @@
         if let Some((headers, body)) = answer {
             self.answer(id, Answer::Served(headers, body));
         }
-        let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
+        let done = self.pending.get(&id).is_none_or(|pending| pending.reply.is_none());
         let spent = out.sent.elapsed().as_micros() as Micros;
         let (server, id_) = (out.server, request_id(id));
         self.events.push_back(Event::Closed(Closed { id: id_, attempt, server, outcome, spent, done, load }));
@@ -425,16 +434,16 @@
 
     fn send(&mut self, id: u64, server: ServerId, limit: Micros, begin_within: Option<Micros>) {
         let now = Instant::now();
-        let held = self.held.get_mut(&id);
-        let attempt = held.as_ref().map_or(0, |held| held.attempts.len());
-        let lawful = held
+        let pending = self.pending.get_mut(&id);
+        let attempt = pending.as_ref().map_or(0, |pending| pending.attempts.len());
+        let lawful = pending
             .filter(|h| h.reply.is_some() && !h.call.over.get())
             .filter(|h| attempt < self.max_attempts && now < h.deadline);
-        let Some(held) = lawful else {
+        let Some(pending) = lawful else {
             // Nothing goes out for what is over.
-            let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
-            if let Some(held) = self.held.get_mut(&id) {
-                held.attempts.push(None);
+            let done = self.pending.get(&id).is_none_or(|pending| pending.reply.is_none());
+            if let Some(pending) = self.pending.get_mut(&id) {
+                pending.attempts.push(None);
             }
             let (id, attempt, outcome) = (request_id(id), attempt as u32, Outcome::Moot);
             self.servers.counts.outcome(outcome);
@@ -442,26 +451,26 @@
             return self.events.push_back(Event::Closed(closed));
         };
         let until = match limit {
-            0 => held.deadline,
-            limit => held.deadline.min(now + Duration::from_micros(limit)),
+            0 => pending.deadline,
+            limit => pending.deadline.min(now + Duration::from_micros(limit)),
         };
         let begin_by = begin_within.map_or(until, |within| until.min(now + Duration::from_micros(within)));
-        let (servers, call, tx) = (self.servers.clone(), held.call.clone(), self.tx.clone());
+        let (servers, call, tx) = (self.servers.clone(), pending.call.clone(), self.tx.clone());
         let attempt = attempt as u32;
         let (rests, acted_on) = self.witness.as_ref().map(Witness::decide).unzip();
         let task = AbortOnDrop::spawn(async move {
             let ended = servers.attempt(server, &call, until, begin_by, acted_on.flatten().as_ref()).await;
             let _ = tx.send(Msg::Closed { id, attempt, ended });
         });
-        held.attempts.push(Some(Out { server, sent: now, _task: task, _rests: rests }));
-        held.tried = true;
+        pending.attempts.push(Some(Out { server, sent: now, _task: task, _rests: rests }));
+        pending.tried = true;
     }
 
     fn cancel(&mut self, id: u64, attempt: u32) {
-        let Some(held) = self.held.get_mut(&id) else { return };
-        let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let Some(out) = pending.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let spent = out.sent.elapsed().as_micros() as Micros;
-        let (server, done) = (out.server, held.reply.is_none());
+        let (server, done) = (out.server, pending.reply.is_none());
         drop(out);
         // It may be silent because its machine is gone: see `Servers::attempt`.
         self.servers.close_idle(server);
--- a/src/brain/health.rs
+++ b/src/brain/health.rs
@@ -147,20 +147,20 @@
         // it and few servers are out, that one hangs: no sign of more work than the others can do. In a
         // large group no server sends word that often: where one after the other hangs, all have too much.
         let silent = server.quiet_since + closed.spent <= self.now;
-        let hung = timed_out && silent && self.mood.ejected.max(self.mood.silent) <= FEW_OUT;
+        let hung = timed_out && silent && self.load.ejected.max(self.load.silent) <= FEW_OUT;
         if answered || (timed_out && !server.hung) {
-            self.mood.silent += 0.03 * (f64::from(u8::from(timed_out && silent)) - self.mood.silent);
+            self.load.silent += 0.03 * (f64::from(u8::from(timed_out && silent)) - self.load.silent);
         }
         server.hung = (server.hung && !answer) || (timed_out && silent);
         if answered || (timed_out && !lost) {
             late = !hung && (timed_out || closed.spent > self.settings.classes[class].aim);
-            let sign = if hung { self.mood.late } else { f64::from(u8::from(late)) };
-            self.mood.late += 0.03 * (sign - self.mood.late);
+            let sign = if hung { self.load.late } else { f64::from(u8::from(late)) };
+            self.load.late += 0.03 * (sign - self.load.late);
             server.ratio += 0.15 * ((spent / norm.mean.max(1.0)).min(5.0) - server.ratio);
             server.answers += 1;
         }
         if answered {
-            self.mood.served += 1.0;
+            self.load.served += 1.0;
             norm.mean += 0.02 * (spent - norm.mean);
         }
         let crowded = full && !server.turns_away_idle();
@@ -175,8 +175,8 @@
         let held = f64::from(self.settings.group_size) / 100.0 * self.settings.connection_price;
         let many = self.settings.group_size > LARGE_GROUP && held >= self.settings.handshake_price;
         let unlinked = f64::from(u8::from(closed.outcome == Outcome::ConnectFailed));
-        self.mood.unlinked += 0.03 * (unlinked - self.mood.unlinked);
-        if server.inflight == 0 && (many || self.mood.unlinked > LINKS_SHORT) {
+        self.load.unlinked += 0.03 * (unlinked - self.load.unlinked);
+        if server.inflight == 0 && (many || self.load.unlinked > LINKS_SHORT) {
             out.push(Action::CloseIdle(closed.server));
         }
         // Errors, resets and time-outs are one kind of symptom. Where the whole fleet shows it, moving
@@ -191,17 +191,17 @@
         if (failed || answered) && !sick {
             let failed = f64::from(u8::from(failed));
             server.failing += 0.15 * (failed - server.failing);
-            self.mood.failing += 0.01 * (failed - self.mood.failing);
+            self.load.failing += 0.01 * (failed - self.load.failing);
         }
         let dead = closed.outcome == Outcome::ConnectFailed && !full;
         // In a large group a server's next answer to this node is seconds away. A sound server hardly ever
         // says nothing until an attempt's time is up, a jammed one mostly does: one such silence is enough.
         let mute = timed_out && silent && self.settings.group_size > LARGE_GROUP;
-        let stands_out = mute || server.failing > FAILING.max(FAILING_MORE * self.mood.failing);
+        let stands_out = mute || server.failing > FAILING.max(FAILING_MORE * self.load.failing);
         if !earlier && (dead || (failed && (stands_out || server.ejected.is_some()))) {
             self.eject(i);
         }
-        if (late && self.mood.late > LATE_PART) || (crowded && closed.attempt > 0) {
+        if (late && self.load.late > LATE_PART) || (crowded && closed.attempt > 0) {
             self.hold_down();
         }
     }
@@ -238,7 +238,7 @@
     pub(super) fn eject(&mut self, i: usize) {
         // Where less time passes than to the node's next request for it, an ejection changes nothing.
         let gap = match self.settings.group_size > LARGE_GROUP {
-            true => self.servers.len() as f64 * self.window / self.mood.sends.max(1.0) * 1e6,
+            true => self.servers.len() as f64 * self.window / self.load.sends.max(1.0) * 1e6,
             false => 0.0,
         } as Micros;
         let span = EJECTION.max(gap) << self.servers[i].ejections.min(6);
--- a/src/brain/load.rs
+++ b/src/brain/load.rs
@@ -34,7 +34,7 @@
 
 /// What a node takes from its traffic as a whole.
 #[derive(Default)]
-pub(super) struct Mood {
+pub(super) struct LoadEstimate {
     /// Part of the latest answers that came late or not at all.
     pub(super) late: f64,
     /// Part of the latest answers and time-outs that were a server's first silent time-out.
@@ -56,10 +56,10 @@
     /// Sizes of the servers in use, by their warmth.
     pub(super) able: f64,
     /// Sizes of the servers on the list by what they may carry while cold, and the most that they came to.
-    pub(super) told: f64,
+    pub(super) listed: f64,
     pub(super) full: f64,
     /// The same as they lately were: what has moved since then meets no memory of its keys.
-    pub(super) lately: f64,
+    pub(super) recent: f64,
     /// The most that a size of one has been seen to serve in a second.
     pub(super) serves: f64,
     /// Requests taken, those of them with a key, attempts sent and attempts served: fading counts.
@@ -72,9 +72,9 @@
 impl Balancer {
     /// Servers that are crowded jam together: holds down what is in flight.
     pub(super) fn hold_down(&mut self) {
-        let keep = 1.0 - (LIMIT_CUT * self.window / self.mood.sends.max(1.0)).min(0.2);
-        let held = self.mood.usual.max(f64::from(self.inflight)) + 1.0;
-        self.mood.limit = (self.mood.limit.min(held) * keep).max(LEAST_LIMIT);
+        let keep = 1.0 - (LIMIT_CUT * self.window / self.load.sends.max(1.0)).min(0.2);
+        let held = self.load.usual.max(f64::from(self.inflight)) + 1.0;
+        self.load.limit = (self.load.limit.min(held) * keep).max(LEAST_LIMIT);
     }
 
     pub(super) fn sweep(&mut self, out: &mut Vec<Action>) {
@@ -82,12 +82,12 @@
         self.shed_held(out);
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
         let silence = ((SILENCE * slowest) as Micros).max(SILENCE_LEAST);
-        let (mut ejected, mut total, mut able, mut told) = (0.0, 0.0, 0.0, 0.0);
-        let serves = self.mood.served / self.window / self.mood.able.max(1.0);
+        let (mut ejected, mut total, mut able, mut listed) = (0.0, 0.0, 0.0, 0.0);
+        let serves = self.load.served / self.window / self.load.able.max(1.0);
         if self.window > SETTLED {
-            self.mood.serves = self.mood.serves.max(serves);
+            self.load.serves = self.load.serves.max(serves);
         }
-        let pace = COLD_CARE * self.settings.fall_multiple * self.mood.serves.max(serves) / 10.0;
+        let pace = COLD_CARE * self.settings.fall_multiple * self.load.serves.max(serves) / 10.0;
         let probes = self.probes();
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
@@ -97,7 +97,7 @@
             let (size, warmth) = (server.member.size, self.warmth(server));
             let gain = pace * size * warmth;
             total += size;
-            told += size * (warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0)).min(1.0);
+            listed += size * (warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0)).min(1.0);
             able += size * warmth * f64::from(u8::from(server.ejected.is_none()));
             let quiet = server.inflight > 0 && self.now > server.quiet_since + silence;
             if quiet && server.ejected.is_none() {
@@ -127,26 +127,26 @@
                 None => server.correct_share(),
             }
         }
-        self.mood.able = able;
+        self.load.able = able;
         let back = (SWEEP as f64 / self.settings.ramp_time.max(SWEEP) as f64).min(1.0);
-        let lately = self.mood.lately + back * (told - self.mood.lately);
-        (self.mood.told, self.mood.full) = (told, self.mood.full.max(told));
-        self.mood.lately = lately.max(told);
-        let rate = self.mood.taken / self.window;
+        let recent = self.load.recent + back * (listed - self.load.recent);
+        (self.load.listed, self.load.full) = (listed, self.load.full.max(listed));
+        self.load.recent = recent.max(listed);
+        let rate = self.load.taken / self.window;
         let step = if self.window > SETTLED { USUAL_STEP } else { 1.0 };
-        self.mood.usual_rate += step * (rate - self.mood.usual_rate);
-        self.mood.limit *= LIMIT_REGAIN;
-        self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
-        self.mood.ejected = ejected / total.max(f64::MIN_POSITIVE);
-        self.mood.panic = self.mood.ejected > PANIC;
+        self.load.usual_rate += step * (rate - self.load.usual_rate);
+        self.load.limit *= LIMIT_REGAIN;
+        self.load.usual += 0.1 * (f64::from(self.inflight) - self.load.usual);
+        self.load.ejected = ejected / total.max(f64::MIN_POSITIVE);
+        self.load.panic = self.load.ejected > PANIC;
         self.forget();
     }
 
     /// Lets the counts of traffic fade.
     fn forget(&mut self) {
-        self.mood.taken *= HOT_KEEP;
-        self.mood.sends *= HOT_KEEP;
-        self.mood.served *= HOT_KEEP;
+        self.load.taken *= HOT_KEEP;
+        self.load.sends *= HOT_KEEP;
+        self.load.served *= HOT_KEEP;
         self.window = self.window * HOT_KEEP + SWEEP as f64 / 1e6;
         self.forget_keys();
         let rates = self.norms.iter_mut().flat_map(|n| &mut n.rates);
@@ -184,10 +184,11 @@
     /// servers can do far more than that.
     pub(super) fn beyond_capacity(&self, slot: usize) -> bool {
         let quota: f64 = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s).sum();
-        let even = quota / f64::from(self.settings.group_size) * (self.mood.told / self.mood.lately.max(1.0));
-        let carried = even.max(self.mood.usual_rate) * (self.mood.told / self.mood.full.max(1.0));
-        let rate = self.mood.taken / self.window;
-        let short = self.settings.group_size > LARGE_GROUP && self.mood.told < self.mood.full;
+        let even =
+            quota / f64::from(self.settings.group_size) * (self.load.listed / self.load.recent.max(1.0));
+        let carried = even.max(self.load.usual_rate) * (self.load.listed / self.load.full.max(1.0));
+        let rate = self.load.taken / self.window;
+        let short = self.settings.group_size > LARGE_GROUP && self.load.listed < self.load.full;
         short && quota > 0.0 && rate > carried && slot_level(slot) > carried / rate
     }
 
@@ -205,6 +206,6 @@
         let reserve = if higher > 0.0 { RESERVE * higher / (lower + higher) } else { 0.0 };
         let spread = if self.settings.warm_keys { LEVELS } else { 0.0 };
         f64::from(self.inflight) + self.rng.f64()
-            >= self.mood.limit * (1.0 - reserve) * (1.0 + spread * (0.5 - slot_level(slot)))
+            >= self.load.limit * (1.0 - reserve) * (1.0 + spread * (0.5 - slot_level(slot)))
     }
 }
--- a/src/brain/mod.rs
+++ b/src/brain/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::api::*;
 use health::{Server, PANIC, SILENCE, SILENCE_LEAST};
-use load::{Mood, Norm, FEW_OUT, LATE_PART};
+use load::{LoadEstimate, Norm, FEW_OUT, LATE_PART};
 use request::Pending;
 use retry::{fate_of, Fate, RETRY_BURST, RETRY_RATIO};
 use route::{Hot, COLD_CARE, HOT_KEEP};
@@ -57,7 +57,7 @@
     /// How many seconds the fading counts hold.
     window: f64,
     retries: f64,
-    mood: Mood,
+    load: LoadEstimate,
     subscribed: bool,
     refusals: u32,
 }
@@ -82,7 +82,7 @@
             hot: Vec::new(),
             window: 1.0,
             retries: RETRY_BURST,
-            mood: Mood { limit: f64::INFINITY, ..Mood::default() },
+            load: LoadEstimate { limit: f64::INFINITY, ..LoadEstimate::default() },
             subscribed: false,
             refusals: 0,
             settings,
--- a/src/brain/request.rs
+++ b/src/brain/request.rs
@@ -34,7 +34,7 @@
         if request.class.0 >= self.settings.classes.len() {
             return out.push(Action::Refuse { id, retry_after: 0 });
         }
-        self.mood.taken += 1.0;
+        self.load.taken += 1.0;
         if let Some(key) = request.key {
             self.count_key(key);
         }
@@ -88,7 +88,7 @@
         server.inflight += 1;
         server.health(self.requests[&id].class).sent(now);
         self.inflight += 1;
-        self.mood.sends += 1.0;
+        self.load.sends += 1.0;
         let member = server.member.clone();
         out.push(Action::Send { id, server: member.server, limit, begin_within });
         let pending = self.requests.get_mut(&id).expect("held");
--- a/src/brain/route.rs
+++ b/src/brain/route.rs
@@ -53,7 +53,7 @@
     pub(super) fn share(&self, server: &Server) -> f64 {
         let warmth = self.warmth(server);
         let spent = warmth < 1.0 && server.budget < 1.0;
-        let ejected = server.ejected.is_some() && !self.mood.panic;
+        let ejected = server.ejected.is_some() && !self.load.panic;
         if spent || ejected {
             0.0
         } else {
@@ -129,7 +129,7 @@
     // Hot keys: bounded counts of this node's own traffic, which is a sample of the fleet's.
 
     pub(super) fn count_key(&mut self, key: Key) {
-        self.mood.keyed += 1.0;
+        self.load.keyed += 1.0;
         if let Some(hot) = self.hot.iter_mut().find(|h| h.key == key) {
             hot.count += 1.0;
         } else if self.hot.len() < HOT_KEYS {
@@ -146,12 +146,12 @@
     fn key_share(&self, key: Option<Key>) -> f64 {
         let least = if self.settings.group_size > LARGE_GROUP { 1.0 } else { HOT_LEAST };
         let hot = key.and_then(|key| self.hot.iter().find(|h| h.key == key));
-        hot.map_or(0.0, |h| h.count - h.error - CHANCE).max(0.0) / self.mood.keyed.max(least)
+        hot.map_or(0.0, |h| h.count - h.error - CHANCE).max(0.0) / self.load.keyed.max(least)
     }
 
     /// Lets the counts of keys fade.
     pub(super) fn forget_keys(&mut self) {
-        self.mood.keyed *= KEY_KEEP;
+        self.load.keyed *= KEY_KEEP;
         for hot in &mut self.hot {
             hot.count *= KEY_KEEP;
             hot.error *= KEY_KEEP;
