--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
-"""Two changes of the list reach both nodes: the first whole, the second in part, and then the watch falls silent. The
-first change says that s-0 drains."""
+"""Two hundred clients stop in the middle of a request and stay, at each of two nodes: 130 in the body, then 70 in the
+head. Every 0.15 s a usual client sends a request on a new connection."""
 import asyncio
 import os
 import sys
@@ -8,65 +8,87 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 from standins import *  # noqa: E402, F403
 
-DRAIN_S, SLACK_S = 1.5, 0.05
+SOCKETS = 256
+IN_BODY, IN_HEAD = 130, 70   # at each node
+TIME_S = 0.6                 # X-Remaining-Ms of a request: half of the class's 1.2 s
+LATE_S, SLACK_S = 0.5, 0.05  # an answer may come this much after the time
 
 
-async def usual_client(record, node, name, state):
-    """One request after the other on a kept connection."""
-    connection, number = await Connection().open(node.port), 0
-    while not state["ended"]:
-        number += 1
-        txn = f"{name}-{number}"
-        lane, method = ("job-close", "POST") if number % 5 == 0 else ("slot-check", "GET")
-        await connection.send(request(txn, lane, 900, method, key=f"{name}{number % 97}"))
+async def usual_client(record, node, name, results):
+    """Sends a request on a new connection and waits for its time and what the rule allows after it."""
+    try:
+        connection = await asyncio.wait_for(Connection().open(node.port), TIME_S)
+    except (OSError, asyncio.TimeoutError):
+        return record.line(f"client {name}: no connection, so the node has not taken the request")
+    record.line(f"client {name}: connected to {node.name}")
+    try:
+        await connection.send(request(name, "slot-check", int(TIME_S * 1000), key=f"k{name}"))
+    except ConnectionError:
+        return record.line(f"client {name}: shut before it was sent")
+    sent = record.now()
+    record.line(f"client {name}: sent")
+    try:
+        answer = await asyncio.wait_for(connection.answer(), TIME_S + LATE_S + 2 * SLACK_S)
+        took = record.now() - sent
+        if answer is None:
+            # "New connections may be shut unread then": not counted.
+            record.line(f"client {name}: shut after {took:.3f} s")
+            return
+        record.line(f"client {name}: {answer[0]} after {took:.3f} s")
+        if took > TIME_S + LATE_S + SLACK_S:
+            results.append(f"lost: {name} at {node.name} had {TIME_S} s and was answered after {took:.3f} s")
+    except asyncio.TimeoutError:
+        results.append(f"lost: {name} at {node.name} had {TIME_S} s and had no answer"
+                       f" {record.now() - sent:.3f} s after its last byte was sent")
+        record.line(f"client {name}: gives up without an answer")
+    finally:
+        connection.close()
+
+
+async def bad_client(record, node, number, in_body):
+    """Sends a part of a request, stops, stays, and reads what comes."""
+    try:
+        connection = await Connection().open(node.port)
+        start = record.now()
+        data = (b"POST /api?key=1 HTTP/1.1\r\nHost: service.internal\r\nX-Txn: bad-%d\r\n"
+                b"X-Lane: job-close\r\nX-Remaining-Ms: 3000\r\n" % number)
+        if in_body:
+            data += b"Content-Length: 100\r\n\r\nthe first half"
+        await connection.send(data)
         answer = await connection.answer()
-        record.line(f"client {txn}: {answer[0] if answer else 'no answer'}")
-        if answer is None or answer[1].get("connection") == "close":
-            connection.close()
-            connection = await Connection().open(node.port)
-        await asyncio.sleep(0.04)
-    connection.close()
+        record.line(f"bad client {number} at {node.name}: {answer[0] if answer else 'closed'}"
+                    f" after {record.now() - start:.3f} s")
+        connection.close()
+    except OSError as error:
+        record.line(f"bad client {number} at {node.name}: {error}")
 
 
 async def play(record, trouble, nodes):
     agents = [await Agent(record).start() for _ in range(2)]
-    servers = [await AppServer(record, f"s-{n}", work=0.02).start() for n in range(10)]
+    servers = [await AppServer(record, f"s-{n}", work=0.05).start() for n in range(10)]
     for agent in agents:
         for server in servers:
             agent.put(server)
     for n, agent in enumerate(agents):
-        node = Node(record, agent, settings(HCM_CLASSES), sockets=512, name=f"n{n}")
+        node = Node(record, agent, settings(HCM_CLASSES), sockets=SOCKETS, name=f"n{n}")
         nodes.append(node)
         await node.start()
-    state = {"ended": False}
-    clients = [asyncio.create_task(usual_client(record, nodes[n % 2], f"c{n}", state)) for n in range(16)]
-    # Wait for the second empty line of the watches, and a moment more.
-    while min(agent.empty_lines for agent in agents) < 2:
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(0.1)
-    for agent in agents:
-        changes = []
-        for server in servers[:2]:
-            agent.revision += 1
-            entry = agent.put(server, "terminating")
-            changes.append(json.dumps(agent.delta([entry])).encode() + b"\n")
-        if trouble:
-            agent.tell(changes[0] + changes[1][:60])
-            agent.tell(None)
-        else:
-            agent.tell(changes[0] + changes[1])
-    while any(agent.told_at is None for agent in agents):
-        await asyncio.sleep(0.001)
-    told = max(agent.told_at for agent in agents)
-    record.say(f"at {told:.3f} s discovery has written to both nodes that s-0 drains")
-    await asyncio.sleep(6)
-    state["ended"] = True
+    results, clients, bad = [], [], []
+    for n in range(40):
+        if n == 10 and trouble:
+            record.say(f"{IN_BODY} clients stop in a request's body and {IN_HEAD} in its head, at each node")
+            for in_body, count in ((True, IN_BODY), (False, IN_HEAD)):
+                for node in nodes:
+                    bad += [asyncio.create_task(bad_client(record, node, len(bad) + i, in_body))
+                            for i in range(count)]
+                await asyncio.sleep(0.05)
+        clients.append(asyncio.create_task(usual_client(record, nodes[n % 2], f"c{n}", results)))
+        await asyncio.sleep(0.15)
     await asyncio.gather(*clients)
-    total = sum(len(server.runs) for server in servers)
-    record.say(f"{total} requests reached servers; the last one at s-0 came {servers[0].runs[-1][0] - told:.3f} s"
-               " after the change was told")
-    late = [run for run in servers[0].runs if run[0] > told + DRAIN_S + SLACK_S]
-    return [f"drain: {run[1]} reached s-0 {run[0] - told:.3f} s after the change was told" for run in late]
+    for task in bad:
+        task.cancel()
+    record.say(f"{len(clients)} requests of usual clients")
+    return results
 
 
 run_case(FOLDER, play)
