--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import tempfile
@@ -364,6 +365,7 @@
                 with open(os.path.join(node.folder, f"{node.name}.log"), encoding="utf-8") as file:
                     for line in file:
                         record.line(f"log of {node.name}: {line.rstrip()}")
+                shutil.rmtree(node.folder, ignore_errors=True)
 
     try:
         breaks = asyncio.run(whole())
