--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -3,6 +3,7 @@
 Only the standard library is used. Every address is a loopback address with a port that the system chooses.
 """
 import asyncio
+import ctypes
 import json
 import os
 import shutil
@@ -204,6 +205,15 @@
             queue.put_nowait(data)
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """In a new process: it is killed when the script ends, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Node:
     """A node, started as the platform starts it: with the `run` of the deploy file."""
 
@@ -234,7 +244,8 @@
                 "TMPDIR": self.folder}
         log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+            "/bin/sh", "-c", run, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            preexec_fn=end_with_parent)
         for _ in range(300):
             try:
                 status, _, _ = await ask(self.port, b"GET /-/ready HTTP/1.1\r\nHost: service.internal\r\n\r\n")
@@ -353,7 +364,7 @@
     async def whole():
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda *_: None)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(limit_s):
