Count accepted connections, evictions and the wait for a client's socket

The log could not tell whether their connections wait to be accepted, are read late, or wait for a server: nothing counted connections before their first request.

New counts: accepted, accepted_over_budget, evicted, socket_wait_ms, and a debug line for a connection that waited for a socket.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -136,7 +136,9 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
+                    let accepted_at = Instant::now();
                     let (permits, is_refused) = self.acquire_permits().await;
+                    self.record_accept(accepted_at.elapsed(), is_refused);
                     spawn_local(self.clone().serve_connection(stream, permits, is_refused));
                 }
                 Err(error) => {
@@ -151,6 +153,18 @@
         }
     }
 
+    /// Counts a new connection, which has waited this long for its permits.
+    fn record_accept(&self, socket_wait: Duration, is_refused: bool) {
+        let counts = &self.servers.counts;
+        counts.increment(Count::Accepted);
+        counts.add(Count::AcceptedOverBudget, usize::from(is_refused));
+        counts.add(Count::SocketWaitMs, socket_wait.as_millis() as usize);
+        if socket_wait >= EVICTION_WAIT {
+            let socket_wait_ms = socket_wait.as_millis() as u64;
+            tracing::debug!(socket_wait_ms, is_refused, "a new connection waited for a socket");
+        }
+    }
+
     /// Takes the permits for a new connection; the flag tells whether the connection is only to be refused.
     /// If the client sockets or the process's sockets are used up, a connection without an open request is
     /// closed and its permits are taken over. If there is none to close, a permit for refusals is taken, and
@@ -180,7 +194,9 @@
         candidates.retain(|(score, _)| *score >= 1.0);
         candidates.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         let evicted = candidates.into_iter().find(|(_, connection)| connection.can_close_without_loss());
-        evicted.inspect(|(_, connection)| connection.request_close(true)).is_some()
+        let is_evicted = evicted.inspect(|(_, connection)| connection.request_close(true)).is_some();
+        self.servers.counts.add(Count::Evicted, usize::from(is_evicted));
+        is_evicted
     }
 
     /// Closes connections whose request takes too long to arrive and those that are idle for too long, until
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -55,6 +55,15 @@
     IdleBroken,
     /// Probes that were started.
     Probes,
+    /// Client connections that were accepted.
+    Accepted,
+    /// Accepted connections beyond the budget, whose first request is only refused.
+    AcceptedOverBudget,
+    /// Client connections that were evicted to free a socket for a new one.
+    Evicted,
+    /// Milliseconds for which accepted connections waited for a socket, added up. Meanwhile no further connection is
+    /// accepted.
+    SocketWaitMs,
     /// Client connections that the node closed before it had answered any request on them.
     ClosedUnanswered,
     /// Requests that took too long to arrive, including the first request of a client that sent nothing.
@@ -62,7 +71,7 @@
 }
 
 /// Every count with its name in the log, in the order of [`Count`].
-const COUNTS: [(Count, &str); 28] = [
+const COUNTS: [(Count, &str); 32] = [
     (Count::Requests, "requests"),
     (Count::Served, "served"),
     (Count::RefusedUntried, "refused_untried"),
@@ -89,6 +98,10 @@
     (Count::IdleEvicted, "idle_evicted"),
     (Count::IdleBroken, "idle_broken"),
     (Count::Probes, "probes"),
+    (Count::Accepted, "accepted"),
+    (Count::AcceptedOverBudget, "accepted_over_budget"),
+    (Count::Evicted, "evicted"),
+    (Count::SocketWaitMs, "socket_wait_ms"),
     (Count::ClosedUnanswered, "closed_unanswered"),
     (Count::TooSlow, "too_slow"),
 ];
