Move the admission of client connections into a module of its own

clients.rs accepted connections, found sockets for them, served them and answered requests. Nothing that the node does changes.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -15,22 +15,25 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, Notify};
-use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use woodgap::settings::RequestNames;
 use woodgap::{ClassId, Settings, TenantId};
 
+use admission::Admission;
+
 use crate::client_connection::{ClientConnection, ClientSocket, Phase, REQUEST_READ_TIMEOUT};
 use crate::counts::Count;
 use crate::driver::{ClientRequest, ClientResponse, DriverMessage};
 use crate::exchange::{OutgoingRequest, MAX_BODY_BYTES};
-use crate::guards::{SocketBudget, SocketPermit};
+use crate::guards::SocketBudget;
 use crate::request::{remove_hop_by_hop_headers, Rejection, RequestHead};
 use crate::revision_reporter::RevisionReporter;
 use crate::servers::Servers;
 
+mod admission;
+
 /// Largest head of a request.
 pub const MAX_REQUEST_HEAD_BYTES: usize = 16 * 1024;
 /// Most headers of a request.
@@ -62,10 +65,6 @@
 const CLOSE_AFTER_ANY_RESPONSE_FRACTION: f64 = 0.9;
 /// How often connections are checked for overdue requests.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long to wait for the socket of an evicted connection to close before trying again.
-const EVICTION_WAIT: Duration = Duration::from_millis(5);
-/// Pause after a failed `accept`.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// State shared by all client connections.
 pub struct Clients {
@@ -128,77 +127,6 @@
         })
     }
 
-    /// Accepts connections until the process ends, after SIGTERM too: a request written to a connection that
-    /// is still in the listener's backlog counts as accepted.
-    pub async fn accept_connections(self: Rc<Self>, listener: TcpListener) {
-        spawn_local(self.clone().close_overdue_connections());
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
-                    let accepted_at = Instant::now();
-                    let (permits, is_refused) = self.acquire_permits().await;
-                    self.record_accept(accepted_at.elapsed(), is_refused);
-                    spawn_local(self.clone().serve_connection(stream, permits, is_refused));
-                }
-                Err(error) => {
-                    // Without a free file descriptor, accept fails at once and the connection stays in the
-                    // backlog. Without a pause this loop would take the CPU time that closing other sockets
-                    // needs.
-                    tracing::warn!(%error, "accept failed");
-                    self.servers.evict_idle();
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Counts a new connection, which has waited this long for its permits.
-    fn record_accept(&self, socket_wait: Duration, is_refused: bool) {
-        let counts = &self.servers.counts;
-        counts.increment(Count::Accepted);
-        counts.add(Count::AcceptedOverBudget, usize::from(is_refused));
-        counts.add(Count::SocketWaitMs, socket_wait.as_millis() as usize);
-        if socket_wait >= EVICTION_WAIT {
-            let socket_wait_ms = socket_wait.as_millis() as u64;
-            tracing::debug!(socket_wait_ms, is_refused, "a new connection waited for a socket");
-        }
-    }
-
-    /// Takes the permits for a new connection; the flag tells whether the connection is only to be refused.
-    /// If the client sockets or the process's sockets are used up, a connection without an open request is
-    /// closed and its permits are taken over. If there is none to close, a permit for refusals is taken, and
-    /// the wait for one is short: a refusal takes `LAST_REQUEST_TIMEOUT` at most.
-    async fn acquire_permits(&self) -> ((SocketPermit, Option<SocketPermit>), bool) {
-        loop {
-            if let Some(client_permit) = self.client_sockets.try_acquire() {
-                if let Some(process_permit) = self.servers.acquire_socket().await {
-                    return ((client_permit, Some(process_permit)), false);
-                }
-            }
-            if !self.evict_connection() {
-                if let Some(permit) = self.refusal_sockets.try_acquire() {
-                    return ((permit, None), true);
-                }
-            }
-            let _ = timeout(EVICTION_WAIT, self.connection_closed.notified()).await;
-        }
-    }
-
-    /// Closes the connection with the highest eviction score, if one may be closed; never a connection whose
-    /// request has arrived in the receive buffer and waits for its task to run.
-    fn evict_connection(&self) -> bool {
-        let connections = self.connections.borrow();
-        let mut candidates: Vec<_> =
-            connections.values().map(|connection| (connection.eviction_score(), connection)).collect();
-        candidates.retain(|(score, _)| *score >= 1.0);
-        candidates.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
-        let evicted = candidates.into_iter().find(|(_, connection)| connection.can_close_without_loss());
-        let is_evicted = evicted.inspect(|(_, connection)| connection.request_close(true)).is_some();
-        self.servers.counts.add(Count::Evicted, usize::from(is_evicted));
-        is_evicted
-    }
-
     /// Closes connections whose request takes too long to arrive and those that are idle for too long, until
     /// the process ends. Silent and very slow clients would otherwise hold all client sockets.
     async fn close_overdue_connections(self: Rc<Self>) {
@@ -216,14 +144,9 @@
         }
     }
 
-    /// Serves a connection until it ends. With `is_refused` its first request is refused, and then the connection
-    /// is closed.
-    async fn serve_connection(
-        self: Rc<Self>,
-        stream: TcpStream,
-        permits: (SocketPermit, Option<SocketPermit>),
-        is_refused: bool,
-    ) {
+    /// Serves a connection until it ends.
+    async fn serve_connection(self: Rc<Self>, stream: TcpStream, admission: Admission) {
+        let is_refused = admission.is_refused;
         // A connection accepted this late still gets one request answered: what was sent before the process
         // ends counts as accepted.
         let is_late = self.is_closing.get();
@@ -296,7 +219,7 @@
         drop(connection);
         // Dropping the last reference closes the socket; only then may another connection take its permits.
         self.connections.borrow_mut().remove(&connection_id);
-        drop(permits);
+        drop(admission);
         self.connection_closed.notify_waiters();
     }
 
