Evict clients that stopped in a request when new connections can't get a socket

Cause: connections are accepted one after the other, and each waits for its socket before the next one is looked at. A client that stopped in a body could not be evicted for 2.5 s, one that stopped in a head or said nothing not for 0.5 s. Once such clients held the client sockets and the 16 sockets for refusals, 32 connections a second passed, and all later ones waited unread in the backlog, at any number of clients that a node is to bear.

Change: a connection whose request has not arrived completely may be evicted once nothing has arrived for 500 ms, in a body too; when also the sockets for refusals are used up, after 50 ms, the longest stalled first. A request whose head was read gets a 503 (no server has seen it), any other connection is closed. So a socket without a complete request is free after 50 ms, whatever other clients do. A client that writes slowly counts as stalled only since its last byte. Where `accept` fails for want of a descriptor a client is evicted too, once no idle server connection is left. The acceptor is woken when a connection only lingers, instead of after 5 ms.

The unit test that said that an open request is never evicted was wrong where the request has not arrived: it now asks that one that stands still is evictable after the same time as other stalled ones, and a complete one never, as before.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -36,9 +36,6 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(60);
 /// When client sockets are short, a connection that was idle between two requests for this long may be closed.
 const EVICTABLE_IDLE: Duration = Duration::from_secs(2);
-/// When client sockets are short, a connection that was open for this long without a first request may be
-/// closed.
-const EVICTABLE_UNUSED: Duration = Duration::from_millis(500);
 /// Most bytes that are kept of what arrives behind an open request. Clients normally send one request at a time.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Longest time for which a connection is still read after its last response. Closing a socket with unread
@@ -70,6 +67,8 @@
     stream: TcpStream,
     phase: Cell<Phase>,
     phase_since: Cell<Instant>,
+    /// When a byte last arrived, at first when the connection was accepted.
+    last_byte_at: Cell<Instant>,
     /// Whether the connection closes at once instead of after the response to a request that may be open.
     closes_at_once: Cell<bool>,
     /// Number of requests whose head has arrived.
@@ -81,6 +80,9 @@
     /// The open request has arrived completely: bytes that arrive now are not part of it.
     is_request_complete: Cell<bool>,
     request_completed: Notify,
+    /// The open request is to be refused although it has not arrived completely.
+    is_refusal_requested: Cell<bool>,
+    refusal_requested: Notify,
     /// How the open request's body is framed, where hyper does not tell.
     framing: RefCell<Framing>,
     /// What arrived behind the open request.
@@ -98,12 +100,15 @@
             stream,
             phase: Cell::new(Phase::New),
             phase_since: Cell::new(now),
+            last_byte_at: Cell::new(now),
             closes_at_once: Cell::new(false),
             requests: Cell::new(0),
             close_requested: Notify::new(),
             first_request_deadline: now + first_request_timeout,
             is_request_complete: Cell::new(false),
             request_completed: Notify::new(),
+            is_refusal_requested: Cell::new(false),
+            refusal_requested: Notify::new(),
             framing: RefCell::new(Framing::default()),
             read_ahead: RefCell::default(),
             has_read_ahead_overflowed: Cell::new(false),
@@ -136,6 +141,7 @@
             _ => Instant::now() + REQUEST_READ_TIMEOUT,
         };
         self.framing.borrow_mut().parse_head();
+        self.is_refusal_requested.set(false);
         self.enter_phase(Phase::RequestOpen);
         self.requests.set(self.requests.get().saturating_add(1));
         body_deadline
@@ -189,17 +195,40 @@
         }
     }
 
-    /// How readily the connection is closed when client sockets are short: the highest score first, and none
-    /// below 1.
-    pub fn eviction_score(&self) -> f64 {
+    /// How readily the connection gives up its socket when client sockets are short: the highest score first, and
+    /// none below 1. A connection whose request has not arrived completely reaches 1 when nothing has arrived for
+    /// `max_stall`; one whose request has arrived is never evicted.
+    pub fn eviction_score(&self, max_stall: Duration) -> f64 {
         let evictable_after = match self.phase.get() {
-            Phase::New => EVICTABLE_UNUSED,
             Phase::Idle => EVICTABLE_IDLE,
             // The last request was answered; the connection only waits for the client's close.
             Phase::Closing if !self.closes_at_once.get() => return f64::INFINITY,
-            Phase::ReadingHead | Phase::RequestOpen | Phase::Closing => return 0.0,
+            Phase::Closing => return 0.0,
+            Phase::RequestOpen if self.is_request_complete.get() || self.is_refusal_requested.get() => {
+                return 0.0
+            }
+            Phase::New | Phase::ReadingHead | Phase::RequestOpen => max_stall,
         };
-        self.phase_since.get().elapsed().as_secs_f64() / evictable_after.as_secs_f64()
+        let active_at = self.phase_since.get().max(self.last_byte_at.get());
+        active_at.elapsed().as_secs_f64() / evictable_after.as_secs_f64()
+    }
+
+    /// Makes the connection give up its socket, for a connection with an eviction score of at least 1. An open
+    /// request, whose head was read, is refused; any other connection is closed without a response.
+    pub fn evict(&self) {
+        if self.phase.get() == Phase::RequestOpen {
+            self.is_refusal_requested.set(true);
+            self.refusal_requested.notify_one();
+        } else {
+            self.request_close(true);
+        }
+    }
+
+    /// Returns once the open request is to be refused because its connection is evicted.
+    pub async fn wait_for_refusal_request(&self) {
+        while !self.is_refusal_requested.get() {
+            self.refusal_requested.notified().await;
+        }
     }
 
     /// Asks the connection's task to close the connection: `at_once`, which is for connections without an
@@ -299,8 +328,11 @@
             count
         };
         connection.framing.borrow_mut().record_bytes(&buf.filled()[filled_before..]);
-        if count > 0 && connection.phase.get() == Phase::Idle {
-            connection.enter_phase(Phase::ReadingHead);
+        if count > 0 {
+            connection.last_byte_at.set(Instant::now());
+            if connection.phase.get() == Phase::Idle {
+                connection.enter_phase(Phase::ReadingHead);
+            }
         }
         Poll::Ready(Ok(()))
     }
--- a/src/bin/woodgap/client_connection/tests.rs
+++ b/src/bin/woodgap/client_connection/tests.rs
@@ -9,38 +9,79 @@
     (ClientConnection::new(listener.accept().await.unwrap().0, REQUEST_READ_TIMEOUT), client)
 }
 
-// An unused connection may be evicted sooner than an idle one, and one with an open request never.
+/// How long an unfinished request may stand still in these tests.
+const MAX_STALL: Duration = Duration::from_millis(500);
+
+/// After how many tenths of a second, up to ten seconds, the connection may be evicted.
+async fn evictable_after_tenths(connection: &ClientConnection) -> Option<usize> {
+    for tenths in 0..100 {
+        if connection.eviction_score(MAX_STALL) >= 1.0 {
+            return Some(tenths);
+        }
+        tokio::time::advance(Duration::from_millis(100)).await;
+    }
+    None
+}
+
+// A connection whose request stands still may be evicted sooner than an idle one, and one whose request has arrived
+// never.
 #[tokio::test]
-async fn only_connections_without_an_open_request_are_evictable() {
+async fn only_connections_without_a_complete_request_are_evictable() {
     let (connection, _client) = connect().await;
     tokio::time::pause();
-    let evictable_after_tenths = |connection: &Rc<ClientConnection>| {
-        let connection = connection.clone();
-        async move {
-            for tenths in 0..100 {
-                if connection.eviction_score() >= 1.0 {
-                    return Some(tenths);
-                }
-                tokio::time::advance(Duration::from_millis(100)).await;
-            }
-            None
-        }
-    };
     assert_eq!(evictable_after_tenths(&connection).await, Some(5));
     assert!(connection.is_unused());
     connection.begin_request();
     assert!(connection.is_first_request() && !connection.is_unused());
+    assert_eq!(evictable_after_tenths(&connection).await, Some(5));
+    connection.mark_request_complete();
     assert_eq!(evictable_after_tenths(&connection).await, None);
     assert!(!connection.is_overdue());
     connection.enter_phase(Phase::Idle);
     assert_eq!(evictable_after_tenths(&connection).await, Some(20));
     connection.enter_phase(Phase::ReadingHead);
-    tokio::time::advance(REQUEST_READ_TIMEOUT + Duration::from_millis(1)).await;
+    assert_eq!(evictable_after_tenths(&connection).await, Some(5));
+    tokio::time::advance(REQUEST_READ_TIMEOUT).await;
     assert!(connection.is_overdue());
     connection.request_close(true);
     assert_eq!(evictable_after_tenths(&connection).await, None);
 }
 
+// A client that writes its request slowly is not taken for one that has stopped.
+#[tokio::test]
+async fn arriving_bytes_put_off_the_eviction() {
+    use tokio::io::AsyncReadExt;
+    let (connection, mut client) = connect().await;
+    let mut socket = ClientSocket::new(connection.clone());
+    for _ in 0..4 {
+        client.write_all(b"P").await.unwrap();
+        socket.read_exact(&mut [0]).await.unwrap();
+        tokio::time::pause();
+        assert_eq!(evictable_after_tenths(&connection).await, Some(5));
+        tokio::time::resume();
+    }
+}
+
+// Of an evicted connection only the open request is refused; without one the connection is closed.
+#[tokio::test]
+async fn an_eviction_refuses_the_open_request_and_no_later_one() {
+    let (connection, _client) = connect().await;
+    tokio::time::pause();
+    connection.begin_request();
+    assert_eq!(evictable_after_tenths(&connection).await, Some(5));
+    connection.evict();
+    connection.wait_for_refusal_request().await;
+    assert!(!connection.closes_at_once());
+    assert_eq!(evictable_after_tenths(&connection).await, None, "evicted twice");
+    connection.enter_phase(Phase::Idle);
+    connection.begin_request();
+    let refused = timeout(MAX_STALL, connection.wait_for_refusal_request()).await;
+    assert!(refused.is_err(), "the next request is refused too");
+    connection.enter_phase(Phase::Idle);
+    connection.evict();
+    assert!(connection.closes_at_once());
+}
+
 // A request that has arrived but is still unread, in the receive buffer or read ahead, keeps its connection
 // open.
 #[tokio::test]
@@ -126,13 +167,13 @@
 async fn lingering_is_bounded_and_ends_on_a_close_request() {
     let (connection, _client) = connect().await;
     connection.enter_phase(Phase::Closing);
-    assert_eq!(connection.eviction_score(), f64::INFINITY);
+    assert_eq!(connection.eviction_score(MAX_STALL), f64::INFINITY);
     let (lingering, closed) = (connection.clone(), connection.clone());
     tokio::join!(async move { lingering.linger().await }, async move {
         tokio::task::yield_now().await;
         closed.request_close(true);
     });
-    assert_eq!(connection.eviction_score(), 0.0);
+    assert_eq!(connection.eviction_score(MAX_STALL), 0.0);
     let (connection, _client) = connect().await;
     connection.enter_phase(Phase::Closing);
     tokio::time::pause();
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -92,7 +92,8 @@
     drain_deadline: Cell<Option<Instant>>,
     /// Set when a draining node closes its idle connections.
     is_closing: Cell<bool>,
-    connection_closed: Notify,
+    /// Signalled when a connection is closed, and before that when it only waits for its client's close.
+    connection_ended: Notify,
 }
 
 impl Clients {
@@ -123,7 +124,7 @@
             connections: RefCell::default(),
             drain_deadline: Cell::new(None),
             is_closing: Cell::new(false),
-            connection_closed: Notify::new(),
+            connection_ended: Notify::new(),
         })
     }
 
@@ -161,7 +162,7 @@
             async move {
                 let body_deadline = state.begin_request();
                 let (mut response, keep_alive) = if is_refused {
-                    (clients.refusal_response(Some(OVERLOAD_RETRY_AFTER)), false)
+                    (clients.last_refusal_response(), false)
                 } else {
                     clients.handle_request(request, &state, body_deadline).await
                 };
@@ -214,13 +215,14 @@
         };
         if !has_client_disconnected {
             connection.enter_phase(Phase::Closing);
+            self.connection_ended.notify_waiters();
             connection.linger().await;
         }
         drop(connection);
         // Dropping the last reference closes the socket; only then may another connection take its permits.
         self.connections.borrow_mut().remove(&connection_id);
         drop(admission);
-        self.connection_closed.notify_waiters();
+        self.connection_ended.notify_waiters();
     }
 
     /// Drains after SIGTERM: keeps serving for `IDLE_CLOSE_DELAY`, then closes idle connections and returns
@@ -240,7 +242,7 @@
         let all_closed = async {
             loop {
                 while !self.connections.borrow().is_empty() {
-                    self.connection_closed.notified().await;
+                    self.connection_ended.notified().await;
                 }
                 // Connections still in the backlog would be reset when the process ends.
                 sleep(BACKLOG_DELAY).await;
@@ -295,16 +297,11 @@
             return Ok(self.refusal_response(Some(OVERLOAD_RETRY_AFTER)));
         }
         let _count = CountGuard::new(&self.open_requests);
-        let body = match timeout_at(body_deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
-            }
-            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body is broken\n")),
-            Err(_) => {
-                self.servers.counts.increment(Count::TooSlow);
-                return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n"));
-            }
+        let body = tokio::select! {
+            biased;
+            body = self.read_body(body, body_deadline) => body?,
+            // No server has seen the request, so the client may safely repeat it.
+            () = connection.wait_for_refusal_request() => return Ok(self.last_refusal_response()),
         };
         head.check_body(&body)?;
         connection.mark_request_complete();
@@ -343,6 +340,28 @@
         })
     }
 
+    /// Reads the body of a request.
+    async fn read_body(&self, body: Incoming, deadline: Instant) -> Result<Bytes, Rejection> {
+        match timeout_at(deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
+            }
+            Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "the body is broken\n")),
+            Err(_) => {
+                self.servers.counts.increment(Count::TooSlow);
+                Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n"))
+            }
+        }
+    }
+
+    /// The refusal of a node without room, after which the connection is closed.
+    fn last_refusal_response(&self) -> Response<Full<Bytes>> {
+        let mut response = self.refusal_response(Some(OVERLOAD_RETRY_AFTER));
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response
+    }
+
     /// A 503, which tells the client that no server ran its request, so that a retry is harmless.
     fn refusal_response(&self, retry_after: Option<Duration>) -> Response<Full<Bytes>> {
         let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
--- a/src/bin/woodgap/clients/admission.rs
+++ b/src/bin/woodgap/clients/admission.rs
@@ -1,4 +1,8 @@
 //! Accepts client connections and takes a socket for each, evicting others if there is none.
+//!
+//! Connections are accepted one after the other. While one of them waits for a socket, all later ones wait unread in
+//! the listener's backlog, whatever time their clients give them. So the wait is bounded, whatever other clients do: a
+//! socket that is held without a complete request is given up after `MAX_STALL_URGENT` at the latest.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +17,12 @@
 
 /// How long to wait for the socket of an evicted connection to close before trying again.
 const EVICTION_WAIT: Duration = Duration::from_millis(5);
+/// When sockets for clients are used up, a connection may be evicted whose request has not arrived completely and of
+/// which nothing has arrived for this long.
+const MAX_STALL: Duration = Duration::from_millis(500);
+/// The same when the sockets for refusals are used up too, so that no connection can be accepted. A client sends its
+/// request right after it connects, so that one that sent nothing for this long has probably stopped.
+const MAX_STALL_URGENT: Duration = Duration::from_millis(50);
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -42,7 +52,9 @@
                     // backlog. Without a pause this loop would take the CPU time that closing other sockets
                     // needs.
                     tracing::warn!(%error, "accept failed");
-                    self.servers.evict_idle();
+                    if !self.servers.evict_idle() {
+                        self.evict_connection(MAX_STALL_URGENT);
+                    }
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -61,9 +73,9 @@
         }
     }
 
-    /// Takes the permits for a new connection. If the client sockets or the process's sockets are used up, a
-    /// connection without an open request is closed and its permits are taken over. If there is none to close, a
-    /// permit for refusals is taken, and the wait for one is short: a refusal takes `LAST_REQUEST_TIMEOUT` at most.
+    /// Takes the permits for a new connection. If the client sockets or the process's sockets are used up, another
+    /// connection without a complete request is evicted and its permits are taken over. If none may be evicted yet, a
+    /// permit for refusals is taken. If these are used up too, connections are evicted sooner.
     async fn admit(&self) -> Admission {
         loop {
             if let Some(client_permit) = self.client_sockets.try_acquire() {
@@ -71,25 +83,26 @@
                     return Admission { is_refused: false, _permits: vec![client_permit, process_permit] };
                 }
             }
-            if !self.evict_connection() {
+            if !self.evict_connection(MAX_STALL) {
                 if let Some(permit) = self.refusal_sockets.try_acquire() {
                     return Admission { is_refused: true, _permits: vec![permit] };
                 }
+                self.evict_connection(MAX_STALL_URGENT);
             }
-            let _ = timeout(EVICTION_WAIT, self.connection_closed.notified()).await;
+            let _ = timeout(EVICTION_WAIT, self.connection_ended.notified()).await;
         }
     }
 
-    /// Closes the connection with the highest eviction score, if one may be closed; never a connection whose
-    /// request has arrived in the receive buffer and waits for its task to run.
-    fn evict_connection(&self) -> bool {
+    /// Evicts the connection with the highest eviction score, if one may be evicted; never a connection whose request
+    /// has arrived in the receive buffer and waits for its task to run.
+    fn evict_connection(&self, max_stall: Duration) -> bool {
         let connections = self.connections.borrow();
-        let mut candidates: Vec<_> =
-            connections.values().map(|connection| (connection.eviction_score(), connection)).collect();
-        candidates.retain(|(score, _)| *score >= 1.0);
+        let scores =
+            connections.values().map(|connection| (connection.eviction_score(max_stall), connection));
+        let mut candidates: Vec<_> = scores.filter(|(score, _)| *score >= 1.0).collect();
         candidates.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         let evicted = candidates.into_iter().find(|(_, connection)| connection.can_close_without_loss());
-        let is_evicted = evicted.inspect(|(_, connection)| connection.request_close(true)).is_some();
+        let is_evicted = evicted.inspect(|(_, connection)| connection.evict()).is_some();
         self.servers.counts.add(Count::Evicted, usize::from(is_evicted));
         is_evicted
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -9,4 +9,5 @@
 mod resource_limits;
 mod responses;
 mod restart;
+mod stopped_clients;
 mod tenancy;
--- /dev/null
+++ b/tests/node/stopped_clients.rs
@@ -0,0 +1,74 @@
+//! Clients that stop before or in the middle of a request and stay: other clients get their responses all the same.
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+
+use serde_json::json;
+
+use crate::harness::*;
+
+/// Where a client stops.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum StopsIn {
+    Silence,
+    Head,
+    Body,
+}
+
+/// Connects a client that stops there.
+fn connect_stopped(harness: &Harness, stops_in: StopsIn, id: &str) -> BufReader<TcpStream> {
+    let mut stream = harness.connect();
+    let request = request_bytes("pay", id, 60_000);
+    let sent = match stops_in {
+        StopsIn::Silence => 0,
+        StopsIn::Head => request.len() / 2,
+        StopsIn::Body => request.len() - 1,
+    };
+    stream.write_all(&request[..sent]).unwrap();
+    BufReader::new(stream)
+}
+
+/// Whether nothing has arrived on an open connection.
+fn is_silent(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).unwrap();
+    peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+// Guards against a new connection's wait for a socket that keeps all later ones in the backlog: usual clients had
+// neither a response nor a close for seconds while others stopped in a request.
+#[test]
+fn stopped_clients_do_not_keep_others_in_the_backlog() {
+    let reference = Harness::new(1);
+    for (first, later) in [
+        (StopsIn::Silence, StopsIn::Silence),
+        (StopsIn::Head, StopsIn::Head),
+        (StopsIn::Body, StopsIn::Head),
+        (StopsIn::Body, StopsIn::Silence),
+    ] {
+        // 44 sockets leave 2 for clients and 16 for clients that are refused.
+        let harness = Harness::with_limits(1, json!({"sockets": 44}));
+        // The time after which a node by itself ends a request that doesn't arrive.
+        let overdue = connect_stopped(&reference, StopsIn::Body, "overdue");
+        let (mut stopped, mut usual) = harness.while_stopped(|| {
+            let stopped: Vec<_> = (0..120)
+                .map(|n| connect_stopped(&harness, if n < 2 { first } else { later }, &format!("stopped{n}")))
+                .collect();
+            let mut usual = harness.connect();
+            usual.write_all(&request_bytes("look", "usual", 60_000)).unwrap();
+            (stopped, BufReader::new(usual))
+        });
+        let mut statuses = vec![Message::read(&mut usual).expect("a response").status()];
+        statuses.extend((0..3).map(|n| harness.send_request("look", &format!("later{n}")).status()));
+        assert!(is_silent(overdue.get_ref()), "usual clients waited as long as a stopped one, {first:?}");
+        assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}, {first:?}");
+        // A request whose head has been read gets a response, and none of a stopped client is sent on.
+        for client in stopped.iter_mut().take(2).filter(|_| first == StopsIn::Body) {
+            let status = Message::read(client).expect("a response").status();
+            assert!([408, 503].contains(&status), "{status}");
+        }
+        let sent_on = harness.take_requests();
+        assert!(sent_on.iter().all(|(_, message)| !message.header("x-txn").contains("stopped")), "{first:?}");
+    }
+}
