Take the wait for a socket off the time of the request that waited

Cause: the time of a request counted from the node's read. The wait of an accepted connection for its socket, and of those behind it in the backlog, was not seen by anything.

Evidence: with one client socket and 17 silent clients before it, a request with 60,000 ms waited 502 ms by the node's own count, and its server was told 59,986 ms.

Change: the acceptor notes when the backlog was last empty, so it knows since when a connection may have waited. A connection on which bytes lie unread when it is first read has that time taken off its first request; one on which a client speaks later has not waited.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -36,6 +36,8 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(60);
 /// When client sockets are short, a connection that was idle between two requests for this long may be closed.
 const EVICTABLE_IDLE: Duration = Duration::from_secs(2);
+/// Shorter waits of a new connection are not counted: the time of a request is given in whole milliseconds.
+const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Most bytes that are kept of what arrives behind an open request. Clients normally send one request at a time.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Longest time for which a connection is still read after its last response. Closing a socket with unread
@@ -75,6 +77,8 @@
     requests: Cell<u32>,
     /// Signalled by `request_close`.
     pub close_requested: Notify,
+    /// How long the first request may have waited, complete, before the connection was read.
+    first_request_wait: Cell<Duration>,
     /// When the first request must have arrived completely.
     first_request_deadline: Instant,
     /// The open request has arrived completely: bytes that arrive now are not part of it.
@@ -104,6 +108,7 @@
             closes_at_once: Cell::new(false),
             requests: Cell::new(0),
             close_requested: Notify::new(),
+            first_request_wait: Cell::new(Duration::ZERO),
             first_request_deadline: now + first_request_timeout,
             is_request_complete: Cell::new(false),
             request_completed: Notify::new(),
@@ -120,6 +125,7 @@
         self.is_request_complete.set(false);
         if phase == Phase::Idle {
             self.framing.borrow_mut().finish_request();
+            self.first_request_wait.set(Duration::ZERO);
         }
         if self.phase.get() != Phase::Closing {
             self.phase.set(phase);
@@ -127,6 +133,20 @@
         }
     }
 
+    /// Notes since when the connection may have waited to be read. Called before the first read: a request that has
+    /// not begun to arrive by then does not wait.
+    pub fn record_wait(&self, waiting_since: Instant) {
+        let wait = waiting_since.elapsed();
+        if wait >= MIN_WAIT && self.has_unread_bytes() {
+            self.first_request_wait.set(wait);
+        }
+    }
+
+    /// How long the open request may have waited before it was read; not zero only for a connection's first request.
+    pub fn take_wait(&self) -> Duration {
+        self.first_request_wait.take()
+    }
+
     /// Notes that the open request has arrived completely.
     pub fn mark_request_complete(&self) {
         self.is_request_complete.set(true);
--- a/src/bin/woodgap/client_connection/tests.rs
+++ b/src/bin/woodgap/client_connection/tests.rs
@@ -179,3 +179,26 @@
     tokio::time::pause();
     connection.linger().await;
 }
+
+// Only a request that had begun to arrive when its connection was first read has waited, and no later one has.
+#[tokio::test]
+async fn only_a_request_that_was_there_at_the_first_read_has_waited() {
+    let waiting_since = Instant::now() - 2 * MIN_WAIT;
+    let (connection, _client) = connect().await;
+    connection.record_wait(waiting_since);
+    assert_eq!(connection.take_wait(), Duration::ZERO);
+    for is_first in [true, false] {
+        let (connection, mut client) = connect().await;
+        client.write_all(b"GET").await.unwrap();
+        while !connection.has_unread_bytes() {
+            tokio::task::yield_now().await;
+        }
+        connection.record_wait(waiting_since);
+        if !is_first {
+            connection.begin_request();
+            connection.enter_phase(Phase::Idle);
+        }
+        connection.begin_request();
+        assert_eq!(connection.take_wait() >= 2 * MIN_WAIT, is_first);
+    }
+}
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -154,6 +154,7 @@
         let first_request_timeout =
             if is_refused || is_late { LAST_REQUEST_TIMEOUT } else { REQUEST_READ_TIMEOUT };
         let connection = ClientConnection::new(stream, first_request_timeout);
+        connection.record_wait(admission.waiting_since);
         let connection_id = self.next_connection_id.replace(self.next_connection_id.get() + 1);
         self.connections.borrow_mut().insert(connection_id, connection.clone());
         let (clients, state) = (self.clone(), connection.clone());
@@ -306,7 +307,8 @@
         head.check_body(&body)?;
         connection.mark_request_complete();
         // The client's time counts from the request's last byte.
-        let deadline = Instant::now() + head.time_left.saturating_sub(RESPONSE_MARGIN);
+        let spent = connection.take_wait() + RESPONSE_MARGIN;
+        let deadline = Instant::now() + head.time_left.saturating_sub(spent);
         let deadline = self.drain_deadline.get().map_or(deadline, |drain| deadline.min(drain));
         let id = self.next_request_id.replace(self.next_request_id.get() + 1);
         let outgoing = Rc::new(OutgoingRequest::new(head.method, head.target, head.headers, body));
--- a/src/bin/woodgap/clients/admission.rs
+++ b/src/bin/woodgap/clients/admission.rs
@@ -2,13 +2,16 @@
 //!
 //! Connections are accepted one after the other. While one of them waits for a socket, all later ones wait unread in
 //! the listener's backlog, whatever time their clients give them. So the wait is bounded, whatever other clients do: a
-//! socket that is held without a complete request is given up after `MAX_STALL_URGENT` at the latest.
+//! socket that is held without a complete request is given up after `MAX_STALL_URGENT` at the latest. What is left of
+//! the wait is taken off the time of the request that waited.
 
+use std::future::poll_fn;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
-use tokio::task::spawn_local;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, unconstrained};
 use tokio::time::{sleep, timeout, Instant};
 
 use super::Clients;
@@ -26,10 +29,37 @@
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// The listener's backlog: connections that the system has set up for the node and the node has not accepted.
+struct Backlog {
+    listener: TcpListener,
+    /// When the connection that has waited for longest may have come; `None` if the backlog was empty at the last look.
+    waiting_since: Option<Instant>,
+}
+
+impl Backlog {
+    /// Accepts the next connection. Returns with it since when it may have waited: it came after the last look at which
+    /// the backlog was empty.
+    async fn accept(&mut self) -> (io::Result<TcpStream>, Instant) {
+        let accepted = poll_fn(|cx| {
+            let accepted = self.listener.poll_accept(cx);
+            if accepted.is_pending() {
+                self.waiting_since = None;
+            }
+            accepted
+        });
+        // Only an empty backlog may be pending here, and not a task that has used up its share of the runtime.
+        let accepted = unconstrained(accepted).await;
+        let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
+        (accepted.map(|(stream, _)| stream), waiting_since)
+    }
+}
+
 /// A new connection's right to a socket. Dropping it returns its permits, so it is kept until the socket is closed.
 pub struct Admission {
     /// Whether the connection is beyond the budget: its first request is refused, and then it is closed.
     pub is_refused: bool,
+    /// Since when the connection may have waited to be read.
+    pub waiting_since: Instant,
     _permits: Vec<SocketPermit>,
 }
 
@@ -38,12 +68,14 @@
     /// is still in the listener's backlog counts as accepted.
     pub async fn accept_connections(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().close_overdue_connections());
+        let mut backlog = Backlog { listener, waiting_since: None };
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            let (accepted, waiting_since) = backlog.accept().await;
+            match accepted {
+                Ok(stream) => {
                     let _ = stream.set_nodelay(true);
                     let accepted_at = Instant::now();
-                    let admission = self.admit().await;
+                    let admission = self.admit(waiting_since).await;
                     self.record_accept(accepted_at.elapsed(), admission.is_refused);
                     spawn_local(self.clone().serve_connection(stream, admission));
                 }
@@ -76,16 +108,17 @@
     /// Takes the permits for a new connection. If the client sockets or the process's sockets are used up, another
     /// connection without a complete request is evicted and its permits are taken over. If none may be evicted yet, a
     /// permit for refusals is taken. If these are used up too, connections are evicted sooner.
-    async fn admit(&self) -> Admission {
+    async fn admit(&self, waiting_since: Instant) -> Admission {
         loop {
             if let Some(client_permit) = self.client_sockets.try_acquire() {
                 if let Some(process_permit) = self.servers.acquire_socket().await {
-                    return Admission { is_refused: false, _permits: vec![client_permit, process_permit] };
+                    let _permits = vec![client_permit, process_permit];
+                    return Admission { is_refused: false, waiting_since, _permits };
                 }
             }
             if !self.evict_connection(MAX_STALL) {
                 if let Some(permit) = self.refusal_sockets.try_acquire() {
-                    return Admission { is_refused: true, _permits: vec![permit] };
+                    return Admission { is_refused: true, waiting_since, _permits: vec![permit] };
                 }
                 self.evict_connection(MAX_STALL_URGENT);
             }
--- a/tests/node/stopped_clients.rs
+++ b/tests/node/stopped_clients.rs
@@ -72,3 +72,30 @@
         assert!(sent_on.iter().all(|(_, message)| !message.header("x-txn").contains("stopped")), "{first:?}");
     }
 }
+
+// Guards against a server that is told more time than its client has left, because the request waited for a socket
+// where the node didn't see it.
+#[test]
+fn the_wait_for_a_socket_is_taken_off_the_time_of_a_request() {
+    // 42 sockets leave one for clients and 16 for clients that are refused.
+    let env = [("RUST_LOG", "debug"), ("BALANCER_LOG_FORMAT", "json")];
+    let harness = Harness::with_env(1, json!({"sockets": 42}), |_| {}, &env);
+    let (_silent, mut usual) = harness.while_stopped(|| {
+        let silent: Vec<_> = (0..17).map(|_| connect_stopped(&harness, StopsIn::Silence, "silent")).collect();
+        let mut usual = harness.connect();
+        usual.write_all(&request_bytes("look", "usual", 60_000)).unwrap();
+        (silent, BufReader::new(usual))
+    });
+    assert_eq!(Message::read(&mut usual).expect("a response").status(), 200);
+    let told_ms: u64 = harness.take_requests()[0].1.header("x-remaining-ms").parse().unwrap();
+    let mut waited_ms = None;
+    wait_until("the wait is logged", || {
+        waited_ms = harness.log_lines.try_iter().find_map(|line| {
+            let line: serde_json::Value = serde_json::from_str(&line).ok()?;
+            line["fields"]["socket_wait_ms"].as_u64()
+        });
+        waited_ms.is_some()
+    });
+    let waited_ms = waited_ms.unwrap();
+    assert!(waited_ms > 0 && told_ms + waited_ms <= 60_000, "waited {waited_ms} ms, told {told_ms} ms");
+}
