Read nothing more from a client connection that closes at once

Cause, found by reading the paths of the eviction: between the decision to close a connection and the run of its task, bytes may arrive. Evictions after 50 ms make that moment more frequent.

Change: the connection's socket gives the library nothing once the connection closes at once. What lies unread is discarded by the lingering close, and its client sends it again.

The whole order with a server was not provoked.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -324,7 +324,8 @@
 }
 
 /// The connection's socket in the form that hyper reads and writes. Reads take the read-ahead buffer first,
-/// record the bytes for `Framing` and notice the first byte of a request on an idle connection.
+/// record the bytes for `Framing` and notice the first byte of a request on an idle connection. Once the connection
+/// closes at once, nothing more is read: a request that is read then could be sent on but not answered.
 pub struct ClientSocket(Rc<ClientConnection>);
 
 impl ClientSocket {
@@ -337,6 +338,10 @@
 impl AsyncRead for ClientSocket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let connection = &self.0;
+        if connection.closes_at_once() {
+            // `request_close` has woken the connection's task, which ends without another read.
+            return Poll::Pending;
+        }
         let filled_before = buf.filled().len();
         let mut read_ahead = connection.read_ahead.borrow_mut();
         let count = if read_ahead.is_empty() {
--- a/src/bin/woodgap/client_connection/tests.rs
+++ b/src/bin/woodgap/client_connection/tests.rs
@@ -180,6 +180,23 @@
     connection.linger().await;
 }
 
+// Guards against a request that arrives between the decision to close its connection and the close: it would be sent
+// to a server and its client never answered.
+#[tokio::test]
+async fn nothing_is_read_from_a_connection_that_closes_at_once() {
+    use tokio::io::AsyncReadExt;
+    let (connection, mut client) = connect().await;
+    connection.evict();
+    client.write_all(b"GET").await.unwrap();
+    while !connection.has_unread_bytes() {
+        tokio::task::yield_now().await;
+    }
+    let mut socket = ClientSocket::new(connection.clone());
+    let read = timeout(Duration::from_millis(50), socket.read(&mut [0; 8])).await;
+    assert!(read.is_err(), "{read:?}");
+    assert!(connection.has_unread_bytes());
+}
+
 // Only a request that had begun to arrive when its connection was first read has waited, and no later one has.
 #[tokio::test]
 async fn only_a_request_that_was_there_at_the_first_read_has_waited() {
