Evict clients that write a request without end when no connection gets a socket

What callers saw: the same wait in the backlog as with stopped clients, if the clients in the way send a byte every few milliseconds.

Change: an arriving request has a limit in total too: 250 ms when also the sockets for refusals are used up, so that half of the half second remains by which a response may be late; otherwise 2.5 s, as before.

Measured: the new case of stopped_clients::stopped_clients_do_not_keep_ others_in_the_backlog, 120 clients that send a byte every 10 ms, failed before ("usual clients waited as long as a stopped one, Never") and passes.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -48,6 +48,14 @@
 /// Size of the buffers for reads that bypass hyper.
 const READ_BUFFER_BYTES: usize = 4096;
 
+/// How long a request may take to arrive before its connection is evicted.
+pub struct ArrivalLimits {
+    /// Longest time without any byte.
+    pub max_stall: Duration,
+    /// Longest time in total, from the connect or from the first byte of a later request.
+    pub max_total: Duration,
+}
+
 /// What a client connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
@@ -69,6 +77,8 @@
     stream: TcpStream,
     phase: Cell<Phase>,
     phase_since: Cell<Instant>,
+    /// When the connection was accepted, or the first byte of its latest request arrived.
+    request_began_at: Cell<Instant>,
     /// When a byte last arrived, at first when the connection was accepted.
     last_byte_at: Cell<Instant>,
     /// Whether the connection closes at once instead of after the response to a request that may be open.
@@ -104,6 +114,7 @@
             stream,
             phase: Cell::new(Phase::New),
             phase_since: Cell::new(now),
+            request_began_at: Cell::new(now),
             last_byte_at: Cell::new(now),
             closes_at_once: Cell::new(false),
             requests: Cell::new(0),
@@ -128,8 +139,12 @@
             self.first_request_wait.set(Duration::ZERO);
         }
         if self.phase.get() != Phase::Closing {
+            let now = Instant::now();
             self.phase.set(phase);
-            self.phase_since.set(Instant::now());
+            self.phase_since.set(now);
+            if phase == Phase::ReadingHead {
+                self.request_began_at.set(now);
+            }
         }
     }
 
@@ -157,8 +172,12 @@
     pub fn begin_request(&self) -> Instant {
         let body_deadline = match self.phase.get() {
             Phase::New => self.first_request_deadline,
-            Phase::ReadingHead => self.phase_since.get() + REQUEST_READ_TIMEOUT,
-            _ => Instant::now() + REQUEST_READ_TIMEOUT,
+            Phase::ReadingHead => self.request_began_at.get() + REQUEST_READ_TIMEOUT,
+            // The head was read together with the request before it.
+            _ => {
+                self.request_began_at.set(Instant::now());
+                Instant::now() + REQUEST_READ_TIMEOUT
+            }
         };
         self.framing.borrow_mut().parse_head();
         self.is_refusal_requested.set(false);
@@ -209,28 +228,29 @@
     pub fn is_overdue(&self) -> bool {
         match self.phase.get() {
             Phase::New => Instant::now() > self.first_request_deadline,
-            Phase::ReadingHead => self.phase_since.get().elapsed() > REQUEST_READ_TIMEOUT,
+            Phase::ReadingHead => self.request_began_at.get().elapsed() > REQUEST_READ_TIMEOUT,
             Phase::Idle => self.phase_since.get().elapsed() > KEEPALIVE_TIMEOUT,
             Phase::RequestOpen | Phase::Closing => false,
         }
     }
 
     /// How readily the connection gives up its socket when client sockets are short: the highest score first, and
-    /// none below 1. A connection whose request has not arrived completely reaches 1 when nothing has arrived for
-    /// `max_stall`; one whose request has arrived is never evicted.
-    pub fn eviction_score(&self, max_stall: Duration) -> f64 {
-        let evictable_after = match self.phase.get() {
-            Phase::Idle => EVICTABLE_IDLE,
+    /// none below 1. A connection whose request has not arrived completely reaches 1 with one of the limits; one whose
+    /// request has arrived is never evicted.
+    pub fn eviction_score(&self, limits: &ArrivalLimits) -> f64 {
+        let fraction = |since: Instant, limit: Duration| since.elapsed().as_secs_f64() / limit.as_secs_f64();
+        match self.phase.get() {
+            Phase::Idle => fraction(self.phase_since.get(), EVICTABLE_IDLE),
             // The last request was answered; the connection only waits for the client's close.
-            Phase::Closing if !self.closes_at_once.get() => return f64::INFINITY,
-            Phase::Closing => return 0.0,
-            Phase::RequestOpen if self.is_request_complete.get() || self.is_refusal_requested.get() => {
-                return 0.0
+            Phase::Closing if !self.closes_at_once.get() => f64::INFINITY,
+            Phase::Closing => 0.0,
+            Phase::RequestOpen if self.is_request_complete.get() || self.is_refusal_requested.get() => 0.0,
+            Phase::New | Phase::ReadingHead | Phase::RequestOpen => {
+                let active_at = self.phase_since.get().max(self.last_byte_at.get());
+                let stalled = fraction(active_at, limits.max_stall);
+                stalled.max(fraction(self.request_began_at.get(), limits.max_total))
             }
-            Phase::New | Phase::ReadingHead | Phase::RequestOpen => max_stall,
-        };
-        let active_at = self.phase_since.get().max(self.last_byte_at.get());
-        active_at.elapsed().as_secs_f64() / evictable_after.as_secs_f64()
+        }
     }
 
     /// Makes the connection give up its socket, for a connection with an eviction score of at least 1. An open
--- a/src/bin/woodgap/clients/admission.rs
+++ b/src/bin/woodgap/clients/admission.rs
@@ -2,7 +2,7 @@
 //!
 //! Connections are accepted one after the other. While one of them waits for a socket, all later ones wait unread in
 //! the listener's backlog, whatever time their clients give them. So the wait is bounded, whatever other clients do: a
-//! socket that is held without a complete request is given up after `MAX_STALL_URGENT` at the latest. What is left of
+//! socket that is held without a complete request is given up within `URGENT_ARRIVAL_LIMITS`. What is left of
 //! the wait is taken off the time of the request that waited.
 
 use std::future::poll_fn;
@@ -15,17 +15,20 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use super::Clients;
+use crate::client_connection::{ArrivalLimits, REQUEST_READ_TIMEOUT};
 use crate::counts::Count;
 use crate::guards::SocketPermit;
 
 /// How long to wait for the socket of an evicted connection to close before trying again.
 const EVICTION_WAIT: Duration = Duration::from_millis(5);
-/// When sockets for clients are used up, a connection may be evicted whose request has not arrived completely and of
-/// which nothing has arrived for this long.
-const MAX_STALL: Duration = Duration::from_millis(500);
+/// When the sockets for clients are used up, connections may be evicted whose request arrives more slowly.
+const ARRIVAL_LIMITS: ArrivalLimits =
+    ArrivalLimits { max_stall: Duration::from_millis(500), max_total: REQUEST_READ_TIMEOUT };
 /// The same when the sockets for refusals are used up too, so that no connection can be accepted. A client sends its
-/// request right after it connects, so that one that sent nothing for this long has probably stopped.
-const MAX_STALL_URGENT: Duration = Duration::from_millis(50);
+/// request right after it connects, so that one that sent nothing for the shorter time has probably stopped. A response
+/// may be half a second late, so that the longer time leaves half of that.
+const URGENT_ARRIVAL_LIMITS: ArrivalLimits =
+    ArrivalLimits { max_stall: Duration::from_millis(50), max_total: Duration::from_millis(250) };
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -85,7 +88,7 @@
                     // needs.
                     tracing::warn!(%error, "accept failed");
                     if !self.servers.evict_idle() {
-                        self.evict_connection(MAX_STALL_URGENT);
+                        self.evict_connection(&URGENT_ARRIVAL_LIMITS);
                     }
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
@@ -116,11 +119,11 @@
                     return Admission { is_refused: false, waiting_since, _permits };
                 }
             }
-            if !self.evict_connection(MAX_STALL) {
+            if !self.evict_connection(&ARRIVAL_LIMITS) {
                 if let Some(permit) = self.refusal_sockets.try_acquire() {
                     return Admission { is_refused: true, waiting_since, _permits: vec![permit] };
                 }
-                self.evict_connection(MAX_STALL_URGENT);
+                self.evict_connection(&URGENT_ARRIVAL_LIMITS);
             }
             let _ = timeout(EVICTION_WAIT, self.connection_ended.notified()).await;
         }
@@ -128,10 +131,9 @@
 
     /// Evicts the connection with the highest eviction score, if one may be evicted; never a connection whose request
     /// has arrived in the receive buffer and waits for its task to run.
-    fn evict_connection(&self, max_stall: Duration) -> bool {
+    fn evict_connection(&self, limits: &ArrivalLimits) -> bool {
         let connections = self.connections.borrow();
-        let scores =
-            connections.values().map(|connection| (connection.eviction_score(max_stall), connection));
+        let scores = connections.values().map(|connection| (connection.eviction_score(limits), connection));
         let mut candidates: Vec<_> = scores.filter(|(score, _)| *score >= 1.0).collect();
         candidates.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         let evicted = candidates.into_iter().find(|(_, connection)| connection.can_close_without_loss());
--- a/tests/node/stopped_clients.rs
+++ b/tests/node/stopped_clients.rs
@@ -2,17 +2,24 @@
 
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
+use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
+use std::time::Duration;
 
 use serde_json::json;
 
 use crate::harness::*;
 
+/// Pause between two bytes of a client that writes slowly.
+const SLOW_WRITE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Where a client stops.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum StopsIn {
     Silence,
     Head,
     Body,
+    /// Nowhere, but it sends its head a byte at a time, without end.
+    Never,
 }
 
 /// Connects a client that stops there.
@@ -21,6 +28,7 @@
     let request = request_bytes("pay", id, 60_000);
     let sent = match stops_in {
         StopsIn::Silence => 0,
+        StopsIn::Never => 1,
         StopsIn::Head => request.len() / 2,
         StopsIn::Body => request.len() - 1,
     };
@@ -28,6 +36,19 @@
     BufReader::new(stream)
 }
 
+/// Writes a further byte of a head to each of these connections every few milliseconds, until the returned sender is
+/// dropped.
+fn write_slowly(clients: &[BufReader<TcpStream>]) -> Sender<()> {
+    let mut streams: Vec<_> = clients.iter().map(|client| client.get_ref().try_clone().unwrap()).collect();
+    let (running, stopped) = channel::<()>();
+    std::thread::spawn(move || {
+        while let Err(RecvTimeoutError::Timeout) = stopped.recv_timeout(SLOW_WRITE_INTERVAL) {
+            streams.retain_mut(|stream| stream.write_all(b"X").is_ok());
+        }
+    });
+    running
+}
+
 /// Whether nothing has arrived on an open connection.
 fn is_silent(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).unwrap();
@@ -46,6 +67,7 @@
         (StopsIn::Head, StopsIn::Head),
         (StopsIn::Body, StopsIn::Head),
         (StopsIn::Body, StopsIn::Silence),
+        (StopsIn::Never, StopsIn::Never),
     ] {
         // 44 sockets leave 2 for clients and 16 for clients that are refused.
         let harness = Harness::with_limits(1, json!({"sockets": 44}));
@@ -59,6 +81,7 @@
             usual.write_all(&request_bytes("look", "usual", 60_000)).unwrap();
             (stopped, BufReader::new(usual))
         });
+        let writer = (later == StopsIn::Never).then(|| write_slowly(&stopped));
         let mut statuses = vec![Message::read(&mut usual).expect("a response").status()];
         statuses.extend((0..3).map(|n| harness.send_request("look", &format!("later{n}")).status()));
         assert!(is_silent(overdue.get_ref()), "usual clients waited as long as a stopped one, {first:?}");
@@ -68,6 +91,7 @@
             let status = Message::read(client).expect("a response").status();
             assert!([408, 503].contains(&status), "{status}");
         }
+        drop(writer);
         let sent_on = harness.take_requests();
         assert!(sent_on.iter().all(|(_, message)| !message.header("x-txn").contains("stopped")), "{first:?}");
     }
