Say what an eviction counts as in the node's counts

The comment said that connections are counted; one that is refused first is counted again when it is closed. Nothing but the comment changes.

--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -59,7 +59,8 @@
     Accepted,
     /// Accepted connections beyond the budget, whose first request is only refused.
     AcceptedOverBudget,
-    /// Client connections that were evicted to free a socket for a new one.
+    /// Evictions of client connections to free a socket for a new one. One whose request is refused first counts again
+    /// when it is closed without waiting for its client's close.
     Evicted,
     /// Milliseconds for which accepted connections waited for a socket, added up. Meanwhile no further connection is
     /// accepted.
