Test that stopped clients do not use up the system's descriptors

The eviction after a failed `accept` had no test. Where the system's limit on descriptors is lower than the configured one, clients that stop in a body held a usual one up until their own time-out.

--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -362,6 +362,12 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// Sets the system's limit on the node's file descriptors.
+    pub fn limit_descriptors(&self, limit: &str) {
+        let (pid, limit) = (self.node.id().to_string(), format!("--nofile={limit}:"));
+        assert!(Command::new("prlimit").args(["--pid", &pid, &limit]).status().unwrap().success());
+    }
+
     /// Runs `meanwhile` while the node is stopped by SIGSTOP, so that all effects of `meanwhile` reach the node at the
     /// same moment.
     pub fn while_stopped<T>(&self, meanwhile: impl FnOnce() -> T) -> T {
--- a/tests/node/resource_limits.rs
+++ b/tests/node/resource_limits.rs
@@ -6,19 +6,12 @@
 
 use crate::harness::*;
 
-/// Sets the kernel's limit on the node's file descriptors.
-fn limit_descriptors(harness: &Harness, limit: &str) {
-    let (pid, limit) = (harness.node.id().to_string(), format!("--nofile={limit}:"));
-    let status = std::process::Command::new("prlimit").args(["--pid", &pid, &limit]).status().unwrap();
-    assert!(status.success());
-}
-
 // Idle clients take all sockets for clients while discovery is down. The file descriptors for discovery and
 // for servers must stay free.
 #[test]
 fn idle_clients_leave_sockets_for_discovery_and_servers() {
     let harness = Harness::with_limits(2, json!({"sockets": 80}));
-    limit_descriptors(&harness, "80");
+    harness.limit_descriptors("80");
     let mut watch = harness.next_watch_from(41);
     write_chunk(&mut watch, "\n");
     drop(watch);
@@ -41,7 +34,7 @@
 #[test]
 fn a_node_without_descriptors_recovers() {
     let harness = Harness::with_limits(1, json!({"sockets": 4_000}));
-    limit_descriptors(&harness, "24");
+    harness.limit_descriptors("24");
     let clients: Vec<_> = (0..60)
         .map(|n| {
             let mut stream = harness.connect();
--- a/tests/node/stopped_clients.rs
+++ b/tests/node/stopped_clients.rs
@@ -123,3 +123,23 @@
     let waited_ms = waited_ms.unwrap();
     assert!(waited_ms > 0 && told_ms + waited_ms <= 60_000, "waited {waited_ms} ms, told {told_ms} ms");
 }
+
+// Guards against the same wait where the system's limit on descriptors is lower than the configured one, so that
+// `accept` fails.
+#[test]
+fn stopped_clients_do_not_use_up_the_descriptors() {
+    let reference = Harness::new(1);
+    let harness = Harness::with_limits(1, json!({"sockets": 4_000}));
+    harness.limit_descriptors("24");
+    let overdue = connect_stopped(&reference, StopsIn::Body, "overdue");
+    let (_stopped, mut usual) = harness.while_stopped(|| {
+        let stopped: Vec<_> =
+            (0..60).map(|n| connect_stopped(&harness, StopsIn::Body, &format!("stopped{n}"))).collect();
+        let mut usual = harness.connect();
+        // It needs no descriptor for a server.
+        usual.write_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        (stopped, BufReader::new(usual))
+    });
+    assert_eq!(Message::read(&mut usual).expect("a response").status(), 200);
+    assert!(is_silent(overdue.get_ref()), "the usual client waited as long as a stopped one");
+}
