--- a/src/bin/woodgap/client_connection/tests.rs
+++ b/src/bin/woodgap/client_connection/tests.rs
@@ -42,7 +42,10 @@
     assert_eq!(evictable_after_tenths(&connection).await, Some(20));
     connection.enter_phase(Phase::ReadingHead);
     assert_eq!(evictable_after_tenths(&connection).await, Some(5));
-    tokio::time::advance(REQUEST_READ_TIMEOUT).await;
+    // The last check has taken `max_stall`.
+    tokio::time::advance(REQUEST_READ_TIMEOUT - LIMITS.max_stall - Duration::from_millis(1)).await;
+    assert!(!connection.is_overdue());
+    tokio::time::advance(Duration::from_millis(2)).await;
     assert!(connection.is_overdue());
     connection.request_close(true);
     assert_eq!(evictable_after_tenths(&connection).await, None);
