Test that a node stays under its memory limit whatever clients send (known to fail)

The test presses with eight kinds of crowds and reads the peak of the whole resident set, against 80% of memory_mb; usual clients have to be served meanwhile.

--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -404,6 +404,14 @@
     }
 }
 
+/// Reads the node's peak memory so far, in kB.
+pub fn read_peak_memory_kb(harness: &Harness) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", harness.node.id())).unwrap();
+    let line =
+        status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("VmHWM in the process status");
+    line.trim().trim_end_matches(" kB").trim().parse().unwrap()
+}
+
 /// The address in the log line that says that the node is ready, in either log format.
 pub fn parse_ready_address(line: &str) -> Option<SocketAddr> {
     let addr = match serde_json::from_str::<Value>(line) {
--- /dev/null
+++ b/tests/node/memory_limit.rs
@@ -0,0 +1,188 @@
+//! The whole process stays under its memory limit, whatever clients and servers send, and other clients are served.
+
+use std::io::{BufReader, ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::harness::*;
+
+/// The part of `memory_mb` that the process's resident set may reach.
+const MAX_RESIDENT_FRACTION: f64 = 0.8;
+/// The largest body of a request or response.
+const LARGEST_BODY_BYTES: usize = 64 * 1024;
+/// How long a crowd of clients presses on a node.
+const PRESSURE_TIME: Duration = Duration::from_millis(3_500);
+/// Pause between two writes of a client that writes slowly.
+const SLOW_WRITE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What the clients of a crowd do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Crowd {
+    /// Write a largest body a few bytes at a time.
+    SlowBody,
+    /// Write a head a few bytes at a time.
+    SlowHead,
+    /// Stop with half of a largest body sent.
+    StoppedBody,
+    /// Stop in a head that is nearly as long as allowed.
+    StoppedHead,
+    /// Send heads with as many short fields as allowed, and stop in the body.
+    ManyFields,
+    /// Send heads with far more short fields than allowed.
+    TooManyFields,
+    /// Send largest bodies, get largest responses and don't read them.
+    UnreadResponses,
+    /// Send small requests in a row without reading the responses.
+    Pipelined,
+}
+
+/// A client of a crowd: its connection, and what it has still to write.
+struct CrowdClient {
+    stream: TcpStream,
+    unsent: Vec<u8>,
+    written: usize,
+}
+
+/// What a client of a crowd sends: the bytes that it writes at once, and those that it writes slowly.
+fn crowd_request(crowd: Crowd, id: &str) -> (Vec<u8>, Vec<u8>) {
+    let head = |fields: usize, length: usize| {
+        let fields: String = (0..fields).map(|n| format!("a{n}:\r\n")).collect();
+        format!(
+            "POST /api?key={id} HTTP/1.1\r\nHost: x\r\nX-Txn: {id}\r\nX-Lane: pay\r\nX-Remaining-Ms: 60000\r\n\
+            {fields}Content-Length: {length}\r\n\r\n"
+        )
+        .into_bytes()
+    };
+    let body = vec![b'b'; LARGEST_BODY_BYTES];
+    match crowd {
+        Crowd::SlowBody => (head(0, LARGEST_BODY_BYTES), body),
+        Crowd::SlowHead => (Vec::new(), head(3_000, 0)),
+        Crowd::StoppedBody => {
+            ([head(0, LARGEST_BODY_BYTES), body[..LARGEST_BODY_BYTES / 2].to_vec()].concat(), Vec::new())
+        }
+        Crowd::StoppedHead => (format!("POST /{} ", "x".repeat(15_900)).into_bytes(), Vec::new()),
+        Crowd::ManyFields => ([head(58, LARGEST_BODY_BYTES), b"b".to_vec()].concat(), Vec::new()),
+        Crowd::TooManyFields => (head(2_000, 0), Vec::new()),
+        Crowd::UnreadResponses => ([head(0, LARGEST_BODY_BYTES), body].concat(), Vec::new()),
+        Crowd::Pipelined => {
+            let requests = (0..40).map(|n| request_bytes("pay", &format!("{id}-{n}"), 60_000));
+            (requests.collect::<Vec<_>>().concat(), Vec::new())
+        }
+    }
+}
+
+impl CrowdClient {
+    fn connect(harness: &Harness, crowd: Crowd, id: &str) -> Option<CrowdClient> {
+        let stream = TcpStream::connect_timeout(&harness.addr, Duration::from_millis(200)).ok()?;
+        let (at_once, unsent) = crowd_request(crowd, id);
+        stream.set_nonblocking(true).unwrap();
+        let mut client = CrowdClient { stream, unsent: [at_once.as_slice(), &unsent].concat(), written: 0 };
+        client.write_up_to(at_once.len());
+        Some(client)
+    }
+
+    /// Writes until this many bytes are written or the connection takes no more.
+    fn write_up_to(&mut self, end: usize) -> bool {
+        while self.written < end.min(self.unsent.len()) {
+            match self.stream.write(&self.unsent[self.written..end.min(self.unsent.len())]) {
+                Ok(count) => self.written += count,
+                Err(error) => return error.kind() == ErrorKind::WouldBlock,
+            }
+        }
+        true
+    }
+
+    /// Whether the node has closed the connection.
+    fn is_closed(&self, reads: bool) -> bool {
+        let mut buffer = [0; 1024];
+        let result = if reads { (&self.stream).read(&mut buffer) } else { self.stream.peek(&mut buffer) };
+        match result {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// Presses on a node with a crowd of clients, each of which comes again once its connection is closed. Meanwhile usual
+/// clients send requests; returns how many of them were served, and how many there were.
+fn press(harness: &Harness, crowd: Crowd, clients: usize) -> (usize, usize) {
+    let reads = crowd != Crowd::UnreadResponses && crowd != Crowd::Pipelined;
+    let mut crowd_clients: Vec<Option<CrowdClient>> = (0..clients).map(|_| None).collect();
+    let (start, mut next_id) = (Instant::now(), 0);
+    let addr = harness.addr;
+    let usual = std::thread::spawn(move || {
+        let (mut served, mut sent) = (0, 0);
+        while start.elapsed() < PRESSURE_TIME {
+            std::thread::sleep(Duration::from_millis(20));
+            sent += 1;
+            served += usize::from(send_usual_request(addr, &format!("usual{sent}")) == Some(200));
+        }
+        (served, sent)
+    });
+    while start.elapsed() < PRESSURE_TIME {
+        for client in &mut crowd_clients {
+            if client.is_none() {
+                next_id += 1;
+                *client = CrowdClient::connect(harness, crowd, &format!("c{next_id}"));
+            }
+            if let Some(open) = client {
+                let end = open.written + 3;
+                if !open.write_up_to(end) || open.is_closed(reads) {
+                    *client = None;
+                }
+            }
+        }
+        std::thread::sleep(SLOW_WRITE_INTERVAL);
+    }
+    usual.join().unwrap()
+}
+
+/// Sends a small request with two seconds left on a new connection and returns the response's status.
+fn send_usual_request(addr: std::net::SocketAddr, id: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(2)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_millis(2_500))).unwrap();
+    stream.write_all(&request_bytes("look", id, 2_000)).ok()?;
+    Message::read(&mut BufReader::new(stream)).map(|response| response.status())
+}
+
+fn check_crowd(crowd: Crowd, memory_mb: u64, sockets: usize) {
+    let harness = Harness::with_limits(4, json!({"sockets": sockets, "memory_mb": memory_mb}));
+    if crowd == Crowd::UnreadResponses {
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {LARGEST_BODY_BYTES}\r\n\r\n{}",
+            "r".repeat(LARGEST_BODY_BYTES)
+        );
+        harness.set_behavior(Behavior::RespondRaw(response.leak(), 1));
+    }
+    let (served, sent) = press(&harness, crowd, sockets * 9 / 10);
+    let peak_kb = read_peak_memory_kb(&harness);
+    let limit_kb = (memory_mb * 1024) as f64 * MAX_RESIDENT_FRACTION;
+    eprintln!("{crowd:?} {memory_mb} MB {sockets} sockets: peak {peak_kb} kB of {limit_kb:.0}, served {served} of {sent}");
+    assert!((peak_kb as f64) < limit_kb, "{crowd:?}: {peak_kb} kB of {limit_kb:.0} kB");
+    assert!(served * 2 > sent, "{crowd:?}: {served} of {sent} usual requests were served");
+}
+
+/// Checks each of these crowds with the least memory and the most descriptors that a deployment gives.
+fn check_crowds(crowds: &[Crowd]) {
+    let check = |&crowd| std::thread::spawn(move || check_crowd(crowd, 32, 1_024));
+    let checks: Vec<_> = crowds.iter().map(check).collect();
+    let failures = checks.into_iter().filter_map(|check| check.join().err()).count();
+    assert_eq!(failures, 0, "of {crowds:?}");
+}
+
+#[test]
+fn memory_stays_under_its_limit_with_clients_that_write_slowly() {
+    check_crowds(&[Crowd::SlowBody, Crowd::SlowHead]);
+}
+
+#[test]
+fn memory_stays_under_its_limit_with_clients_that_stop() {
+    check_crowds(&[Crowd::StoppedBody, Crowd::StoppedHead, Crowd::ManyFields, Crowd::TooManyFields]);
+}
+
+#[test]
+fn memory_stays_under_its_limit_with_clients_that_do_not_read() {
+    check_crowds(&[Crowd::UnreadResponses, Crowd::Pipelined]);
+}
--- a/tests/node/resource_limits.rs
+++ b/tests/node/resource_limits.rs
@@ -77,14 +77,6 @@
     }
 }
 
-/// Reads the node's peak memory so far, in kB.
-fn read_peak_memory_kb(harness: &Harness) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", harness.node.id())).unwrap();
-    let line =
-        status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("VmHWM in the process status");
-    line.trim().trim_end_matches(" kB").trim().parse().unwrap()
-}
-
 // Three floods must leave the node's memory under half of its limit: clients that send and disconnect,
 // clients that keep sending behind a request, and responses that never end.
 #[test]
