--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -23,7 +23,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
+use tokio_util::sync::PollSemaphore;
 
+use crate::memory::{
+    MemoryPermit, MemoryShare, LONG_HEAD_BYTES, UNRESERVED_BODY_BYTES, UNRESERVED_HEAD_BYTES,
+};
 use crate::stream;
 
 mod framing;
@@ -36,6 +40,8 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(60);
 /// When client sockets are short, a connection that was idle between two requests for this long may be closed.
 const EVICTABLE_IDLE: Duration = Duration::from_secs(2);
+/// When memory is short, a connection whose client has not read anything of its response for this long may be closed.
+const MAX_WRITE_STALL: Duration = Duration::from_millis(500);
 /// Shorter waits of a new connection are not counted: the time of a request is given in whole milliseconds.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Most bytes that are kept of what arrives behind an open request. Clients normally send one request at a time.
@@ -47,6 +53,9 @@
 const MAX_LINGER_BYTES: usize = 1 << 20;
 /// Size of the buffers for reads that bypass hyper.
 const READ_BUFFER_BYTES: usize = 4096;
+/// The refusal of a request whose head has not arrived completely, written past hyper, which has no request yet.
+const REFUSAL_OF_HEAD: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// How long a request may take to arrive before its connection is evicted.
 pub struct ArrivalLimits {
@@ -56,6 +65,17 @@
     pub max_total: Duration,
 }
 
+/// The memory that a request takes from the budget while it arrives.
+struct ArrivalMemory {
+    share: MemoryShare,
+    /// Waits for the bytes of a long head.
+    head_queue: PollSemaphore,
+    head_permit: Option<MemoryPermit>,
+    read_ahead_permit: Option<MemoryPermit>,
+    /// Since when the head has waited for bytes.
+    head_waits_since: Option<Instant>,
+}
+
 /// What a client connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
@@ -101,15 +121,39 @@
     framing: RefCell<Framing>,
     /// What arrived behind the open request.
     read_ahead: RefCell<BytesMut>,
-    /// Whether more than `MAX_READ_AHEAD_BYTES` arrived behind the open request.
+    /// Whether more arrived behind the open request than is kept.
     has_read_ahead_overflowed: Cell<bool>,
+    /// Memory for the head and for what arrives behind the request.
+    arrival_memory: RefCell<ArrivalMemory>,
+    /// Whether the body of the open request waits for memory, or holds some.
+    body_memory: Cell<BodyMemory>,
+    /// Since when the client has not read what the node wants to write.
+    write_blocked_since: Cell<Option<Instant>>,
+}
+
+/// Where the body of the open request stands with the memory budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum BodyMemory {
+    /// It needs none, or is complete.
+    Unreserved,
+    /// It is not read until there are bytes for it.
+    Waiting,
+    /// It arrives, and the bytes for it are taken.
+    Held,
 }
 
 impl ClientConnection {
     /// The state of a connection that was just accepted; its first request must arrive within
-    /// `first_request_timeout`.
-    pub fn new(stream: TcpStream, first_request_timeout: Duration) -> Rc<Self> {
+    /// `first_request_timeout`, and takes its memory from `arriving`.
+    pub fn new(stream: TcpStream, first_request_timeout: Duration, arriving: &MemoryShare) -> Rc<Self> {
         let now = Instant::now();
+        let arrival_memory = ArrivalMemory {
+            share: arriving.clone(),
+            head_queue: PollSemaphore::new(arriving.semaphore()),
+            head_permit: None,
+            read_ahead_permit: None,
+            head_waits_since: None,
+        };
         Rc::new(ClientConnection {
             stream,
             phase: Cell::new(Phase::New),
@@ -128,6 +172,9 @@
             framing: RefCell::new(Framing::default()),
             read_ahead: RefCell::default(),
             has_read_ahead_overflowed: Cell::new(false),
+            arrival_memory: RefCell::new(arrival_memory),
+            body_memory: Cell::new(BodyMemory::Unreserved),
+            write_blocked_since: Cell::new(None),
         })
     }
 
@@ -137,6 +184,8 @@
         if phase == Phase::Idle {
             self.framing.borrow_mut().finish_request();
             self.first_request_wait.set(Duration::ZERO);
+            self.body_memory.set(BodyMemory::Unreserved);
+            self.arrival_memory.borrow_mut().head_permit = None;
         }
         if self.phase.get() != Phase::Closing {
             let now = Instant::now();
@@ -240,11 +289,22 @@
     pub fn eviction_score(&self, limits: &ArrivalLimits) -> f64 {
         let fraction = |since: Instant, limit: Duration| since.elapsed().as_secs_f64() / limit.as_secs_f64();
         match self.phase.get() {
+            // The response was given up to hyper, and the client does not read it.
+            Phase::Idle if self.write_blocked_since.get().is_some() => {
+                fraction(self.write_blocked_since.get().unwrap_or(self.phase_since.get()), MAX_WRITE_STALL)
+            }
             Phase::Idle => fraction(self.phase_since.get(), EVICTABLE_IDLE),
             // The last request was answered; the connection only waits for the client's close.
             Phase::Closing if !self.closes_at_once.get() => f64::INFINITY,
             Phase::Closing => 0.0,
             Phase::RequestOpen if self.is_request_complete.get() || self.is_refusal_requested.get() => 0.0,
+            // The node itself does not read.
+            Phase::RequestOpen if self.body_memory.get() == BodyMemory::Waiting => {
+                fraction(self.phase_since.get(), limits.max_total)
+            }
+            Phase::New | Phase::ReadingHead if self.head_wait().is_some() => {
+                self.head_wait().unwrap_or_default().as_secs_f64() / limits.max_total.as_secs_f64()
+            }
             Phase::New | Phase::ReadingHead | Phase::RequestOpen => {
                 let active_at = self.phase_since.get().max(self.last_byte_at.get());
                 let stalled = fraction(active_at, limits.max_stall);
@@ -256,11 +316,92 @@
     /// Makes the connection give up its socket, for a connection with an eviction score of at least 1. An open
     /// request, whose head was read, is refused; any other connection is closed without a response.
     pub fn evict(&self) {
-        if self.phase.get() == Phase::RequestOpen {
-            self.is_refusal_requested.set(true);
-            self.refusal_requested.notify_one();
+        match self.phase.get() {
+            Phase::RequestOpen => {
+                self.is_refusal_requested.set(true);
+                self.refusal_requested.notify_one();
+            }
+            Phase::New | Phase::ReadingHead => {
+                self.refuse_head();
+                self.request_close(true);
+            }
+            Phase::Idle | Phase::Closing => self.request_close(true),
+        }
+    }
+
+    /// Refuses a request of whose head a part has arrived. Only what the client has not sent yet can be lost then, and
+    /// no server has seen the request.
+    fn refuse_head(&self) {
+        let has_head_begun =
+            self.phase.get() == Phase::ReadingHead || self.framing.borrow().has_received_bytes();
+        if (has_head_begun || self.has_unread_bytes()) && self.write_blocked_since.get().is_none() {
+            let _ = self.stream.try_write(REFUSAL_OF_HEAD);
+        }
+    }
+
+    /// How long the head has waited for memory; `None` if it doesn't.
+    fn head_wait(&self) -> Option<Duration> {
+        self.arrival_memory.borrow().head_waits_since.map(|since| since.elapsed())
+    }
+
+    /// Whether the connection waits for memory, for its head or for its body.
+    pub fn is_waiting_for_memory(&self) -> bool {
+        self.head_wait().is_some() || self.body_memory.get() == BodyMemory::Waiting
+    }
+
+    /// Whether the connection holds memory for a request that has not arrived completely, or for a response that its
+    /// client does not read.
+    pub fn holds_reclaimable_memory(&self) -> bool {
+        let holds_body = self.body_memory.get() == BodyMemory::Held && !self.is_request_complete.get();
+        let holds_head =
+            self.arrival_memory.borrow().head_permit.is_some() && !self.is_request_complete.get();
+        holds_body || holds_head || self.write_blocked_since.get().is_some()
+    }
+
+    /// Notes where the body of the open request stands with the memory budget.
+    pub fn set_body_memory(&self, body_memory: BodyMemory) {
+        self.body_memory.set(body_memory);
+        // The wait was not the client's.
+        self.last_byte_at.set(Instant::now());
+    }
+
+    /// How many bytes of a head may be read now. A head that is longer than usual takes memory from the budget and waits
+    /// for it in order.
+    fn poll_head_room(&self, cx: &mut Context<'_>) -> Poll<usize> {
+        let is_head = matches!(self.phase.get(), Phase::New | Phase::ReadingHead | Phase::Idle);
+        let mut memory = self.arrival_memory.borrow_mut();
+        if !is_head || memory.head_permit.is_some() {
+            return Poll::Ready(usize::MAX);
+        }
+        let received = self.framing.borrow().received_bytes();
+        if received < UNRESERVED_HEAD_BYTES {
+            return Poll::Ready(UNRESERVED_HEAD_BYTES - received);
+        }
+        let units = memory.share.units(LONG_HEAD_BYTES);
+        let Poll::Ready(permit) = memory.head_queue.poll_acquire_many(cx, units) else {
+            memory.head_waits_since.get_or_insert_with(Instant::now);
+            return Poll::Pending;
+        };
+        memory.head_waits_since = None;
+        memory.head_permit = permit;
+        drop(memory);
+        self.last_byte_at.set(Instant::now());
+        Poll::Ready(usize::MAX)
+    }
+
+    /// Keeps bytes that arrived behind the open request, or notes that they were discarded.
+    fn keep_read_ahead(&self, bytes: &[u8]) {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let mut memory = self.arrival_memory.borrow_mut();
+        let kept = read_ahead.len() + bytes.len();
+        if kept > UNRESERVED_BODY_BYTES && memory.read_ahead_permit.is_none() {
+            memory.read_ahead_permit = memory.share.try_acquire(2 * MAX_READ_AHEAD_BYTES);
+        }
+        let has_room = kept <= UNRESERVED_BODY_BYTES || memory.read_ahead_permit.is_some();
+        if self.has_read_ahead_overflowed.get() || kept > MAX_READ_AHEAD_BYTES || !has_room {
+            self.has_read_ahead_overflowed.set(true);
         } else {
-            self.request_close(true);
+            read_ahead.extend_from_slice(bytes);
         }
     }
 
@@ -304,30 +445,32 @@
             let mut buffer = [0; READ_BUFFER_BYTES];
             match self.stream.try_read(&mut buffer) {
                 Ok(0) => return,
-                Ok(count) => {
-                    let mut read_ahead = self.read_ahead.borrow_mut();
-                    if self.has_read_ahead_overflowed.get() || read_ahead.len() + count > MAX_READ_AHEAD_BYTES
-                    {
-                        self.has_read_ahead_overflowed.set(true);
-                    } else {
-                        read_ahead.extend_from_slice(&buffer[..count]);
-                    }
-                }
+                Ok(count) => self.keep_read_ahead(&buffer[..count]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
         }
     }
 
+    /// Notes whether the client reads what the node writes.
+    fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let blocked_since = self.write_blocked_since.get();
+        self.write_blocked_since.set(match written {
+            Poll::Pending => Some(blocked_since.unwrap_or_else(Instant::now)),
+            Poll::Ready(_) => None,
+        });
+        written
+    }
+
     /// Lingering close: shuts down the sending side and discards what arrives until the client closes too,
     /// within `LINGER_TIMEOUT` and `MAX_LINGER_BYTES`. If the connection is asked to close at once, only what
     /// has already arrived is discarded.
     pub async fn linger(&self) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
         let discard = async {
-            let (mut remaining, mut buffer) = (MAX_LINGER_BYTES, [0; READ_BUFFER_BYTES]);
+            let mut remaining = MAX_LINGER_BYTES;
             while remaining > 0 {
-                match self.stream.try_read(&mut buffer) {
+                match self.stream.try_read(&mut [0; READ_BUFFER_BYTES]) {
                     Ok(0) => return,
                     Ok(count) => remaining = remaining.saturating_sub(count),
                     Err(error) if error.kind() != io::ErrorKind::WouldBlock => return,
@@ -362,14 +505,19 @@
             // `request_close` has woken the connection's task, which ends without another read.
             return Poll::Pending;
         }
+        let max_bytes = ready!(connection.poll_head_room(cx));
         let filled_before = buf.filled().len();
         let mut read_ahead = connection.read_ahead.borrow_mut();
         let count = if read_ahead.is_empty() {
-            ready!(stream::poll_read(&connection.stream, cx, buf))?
+            ready!(stream::poll_read(&connection.stream, cx, buf, max_bytes))?
         } else {
-            let count = read_ahead.len().min(buf.remaining());
+            let count = read_ahead.len().min(buf.remaining()).min(max_bytes);
             buf.put_slice(&read_ahead[..count]);
             read_ahead.advance(count);
+            if read_ahead.is_empty() {
+                *read_ahead = BytesMut::new();
+                connection.arrival_memory.borrow_mut().read_ahead_permit = None;
+            }
             count
         };
         connection.framing.borrow_mut().record_bytes(&buf.filled()[filled_before..]);
@@ -385,7 +533,8 @@
 
 impl AsyncWrite for ClientSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write(data))
+        let written = stream::poll_write(&self.0.stream, cx, |stream| stream.try_write(data));
+        self.0.record_write(written)
     }
 
     fn poll_write_vectored(
@@ -393,7 +542,8 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write_vectored(parts))
+        let written = stream::poll_write(&self.0.stream, cx, |stream| stream.try_write_vectored(parts));
+        self.0.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/woodgap/client_connection/framing.rs
+++ b/src/bin/woodgap/client_connection/framing.rs
@@ -36,6 +36,16 @@
 }
 
 impl Framing {
+    /// Number of bytes that arrived since the previous request was answered.
+    pub fn received_bytes(&self) -> usize {
+        self.received
+    }
+
+    /// Whether any byte arrived since the previous request was answered.
+    pub fn has_received_bytes(&self) -> bool {
+        self.received > 0
+    }
+
     /// Records bytes that were handed to hyper.
     pub fn record_bytes(&mut self, bytes: &[u8]) {
         self.received += bytes.len();
--- a/src/bin/woodgap/client_connection/tests.rs
+++ b/src/bin/woodgap/client_connection/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::memory::MemoryBudget;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
@@ -6,7 +7,9 @@
 async fn connect() -> (Rc<ClientConnection>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-    (ClientConnection::new(listener.accept().await.unwrap().0, REQUEST_READ_TIMEOUT), client)
+    let budget = MemoryBudget::new(64 << 20, Some(0));
+    let accepted = listener.accept().await.unwrap().0;
+    (ClientConnection::new(accepted, REQUEST_READ_TIMEOUT, &budget.arriving), client)
 }
 
 /// The limits in these tests: half a second without a byte, two seconds in total.
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
@@ -18,16 +18,21 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
+use woodgap::config::REJECTION_CONNECTIONS;
 use woodgap::settings::RequestNames;
 use woodgap::{ClassId, Settings, TenantId};
 
-use admission::Admission;
+use admission::{Admission, URGENT_ARRIVAL_LIMITS};
 
-use crate::client_connection::{ClientConnection, ClientSocket, Phase, REQUEST_READ_TIMEOUT};
+use crate::client_connection::{BodyMemory, ClientConnection, ClientSocket, Phase, REQUEST_READ_TIMEOUT};
 use crate::counts::Count;
 use crate::driver::{ClientRequest, ClientResponse, DriverMessage};
 use crate::exchange::{OutgoingRequest, MAX_BODY_BYTES};
 use crate::guards::SocketBudget;
+use crate::memory::{
+    MemoryBudget, MemoryPermit, CLIENT_CONNECTION_BYTES, MANY_FIELDS_BYTES, OPEN_REQUEST_BYTES,
+    UNRESERVED_BODY_BYTES, UNRESERVED_FIELDS,
+};
 use crate::request::{remove_hop_by_hop_headers, Rejection, RequestHead};
 use crate::revision_reporter::RevisionReporter;
 use crate::servers::Servers;
@@ -63,6 +68,9 @@
 const CLOSE_AFTER_FIRST_RESPONSE_FRACTION: f64 = 0.6;
 /// Above this fraction of the client sockets in use, a connection is closed after any response.
 const CLOSE_AFTER_ANY_RESPONSE_FRACTION: f64 = 0.9;
+/// Most requests that are served at a time on connections beyond the budget. The other connections beyond the budget are
+/// left for refusals.
+const MAX_SERVED_OVER_BUDGET: usize = REJECTION_CONNECTIONS / 2;
 /// How often connections are checked for overdue requests.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -75,6 +83,8 @@
     servers: Rc<Servers>,
     /// Sockets for clients; each also needs a permit from the budget of all sockets in `servers`.
     client_sockets: Rc<SocketBudget>,
+    /// The bytes that the process may hold.
+    memory: Rc<MemoryBudget>,
     /// Further sockets for clients that are only told that the node refuses them.
     refusal_sockets: Rc<SocketBudget>,
     /// Knows whether the audit has taken the node out of service.
@@ -84,6 +94,8 @@
     next_request_id: Cell<u64>,
     /// Requests that hold memory: from the arrival of their head to their response.
     open_requests: Cell<usize>,
+    /// Requests on connections beyond the budget that are being served.
+    served_over_budget: Cell<usize>,
     /// The `X-Txn` of each request that waits for its response.
     open_txns: RefCell<HashSet<String>>,
     next_connection_id: Cell<u64>,
@@ -102,7 +114,6 @@
     pub fn new(
         settings: Settings,
         names: RequestNames,
-        max_open_requests: usize,
         servers: Rc<Servers>,
         sockets: (Rc<SocketBudget>, Rc<SocketBudget>),
         reporter: Option<Rc<RevisionReporter>>,
@@ -111,7 +122,8 @@
         Rc::new(Clients {
             settings,
             names,
-            max_open_requests,
+            max_open_requests: servers.max_open_requests(),
+            memory: servers.memory(),
             servers,
             client_sockets: sockets.0,
             refusal_sockets: sockets.1,
@@ -119,6 +131,7 @@
             driver,
             next_request_id: Cell::new(1),
             open_requests: Cell::new(0),
+            served_over_budget: Cell::new(0),
             open_txns: RefCell::default(),
             next_connection_id: Cell::new(0),
             connections: RefCell::default(),
@@ -128,11 +141,30 @@
         })
     }
 
+    /// Takes memory back from requests that don't arrive and from clients that don't read, if others wait for it.
+    fn reclaim_memory(&self) {
+        let connections = self.connections.borrow();
+        let is_any_waiting = connections.values().any(|connection| connection.is_waiting_for_memory());
+        if !is_any_waiting && !self.memory.responses.is_short() {
+            return;
+        }
+        let stalled = connections
+            .values()
+            .filter(|connection| connection.holds_reclaimable_memory() || connection.is_waiting_for_memory())
+            .filter(|connection| connection.eviction_score(&URGENT_ARRIVAL_LIMITS) >= 1.0)
+            .filter(|connection| connection.is_waiting_for_memory() || connection.can_close_without_loss());
+        stalled.for_each(|connection| {
+            self.servers.counts.increment(Count::Evicted);
+            connection.evict();
+        });
+    }
+
     /// Closes connections whose request takes too long to arrive and those that are idle for too long, until
     /// the process ends. Silent and very slow clients would otherwise hold all client sockets.
     async fn close_overdue_connections(self: Rc<Self>) {
         loop {
             sleep(OVERDUE_CHECK_INTERVAL).await;
+            self.reclaim_memory();
             let connections = self.connections.borrow();
             // Unread bytes may complete the request, so a connection that has some is left until the next check.
             let overdue = connections
@@ -145,15 +177,21 @@
         }
     }
 
+    /// The part of the sockets or of the memory for client connections in use, whichever is larger.
+    fn used_fraction(&self) -> f64 {
+        let most = self.memory.connections.total_bytes() as f64 / CLIENT_CONNECTION_BYTES as f64;
+        (self.connections.borrow().len() as f64 / most).max(self.client_sockets.used_fraction())
+    }
+
     /// Serves a connection until it ends.
     async fn serve_connection(self: Rc<Self>, stream: TcpStream, admission: Admission) {
-        let is_refused = admission.is_refused;
+        let is_over_budget = admission.is_over_budget;
         // A connection accepted this late still gets one request answered: what was sent before the process
         // ends counts as accepted.
         let is_late = self.is_closing.get();
         let first_request_timeout =
-            if is_refused || is_late { LAST_REQUEST_TIMEOUT } else { REQUEST_READ_TIMEOUT };
-        let connection = ClientConnection::new(stream, first_request_timeout);
+            if is_over_budget || is_late { LAST_REQUEST_TIMEOUT } else { REQUEST_READ_TIMEOUT };
+        let connection = ClientConnection::new(stream, first_request_timeout, &self.memory.arriving);
         connection.record_wait(admission.waiting_since);
         let connection_id = self.next_connection_id.replace(self.next_connection_id.get() + 1);
         self.connections.borrow_mut().insert(connection_id, connection.clone());
@@ -162,8 +200,8 @@
             let (clients, state) = (clients.clone(), state.clone());
             async move {
                 let body_deadline = state.begin_request();
-                let (mut response, keep_alive) = if is_refused {
-                    (clients.last_refusal_response(), false)
+                let (mut response, keep_alive) = if is_over_budget {
+                    (clients.handle_over_budget(request, &state, body_deadline).await, false)
                 } else {
                     clients.handle_request(request, &state, body_deadline).await
                 };
@@ -172,7 +210,7 @@
                 } else {
                     CLOSE_AFTER_ANY_RESPONSE_FRACTION
                 };
-                let is_crowded = clients.client_sockets.used_fraction() > close_above_fraction;
+                let is_crowded = clients.used_fraction() > close_above_fraction;
                 // Only hyper knows where a chunked body ends, so the next request's first byte would not be
                 // known.
                 let must_close = state.has_read_ahead_overflowed()
@@ -257,6 +295,22 @@
         let _ = timeout(longest + IDLE_CLOSE_DELAY, all_closed).await;
     }
 
+    /// Answers the only request of a connection beyond the budget. It is served if it needs little memory and is there,
+    /// so that clients which hold all other sockets don't keep usual ones out; else it is refused.
+    async fn handle_over_budget(
+        &self,
+        request: Request<Incoming>,
+        connection: &ClientConnection,
+        body_deadline: Instant,
+    ) -> Response<Full<Bytes>> {
+        let needed_bytes = arriving_bytes(request.headers().len(), request.body().size_hint().exact());
+        if needed_bytes > 0 || self.served_over_budget.get() >= MAX_SERVED_OVER_BUDGET {
+            return self.last_refusal_response();
+        }
+        let _count = CountGuard::new(&self.served_over_budget);
+        self.handle_request(request, connection, body_deadline).await.0
+    }
+
     /// Answers a request. The flag tells whether the connection may be kept open after the response.
     async fn handle_request(
         &self,
@@ -291,27 +345,41 @@
         body_deadline: Instant,
     ) -> Result<Response<Full<Bytes>>, Rejection> {
         let (parts, body) = request.into_parts();
+        let fields = parts.headers.len();
         let min_body_bytes = body.size_hint().lower();
         let is_chunked_only = connection.is_chunked_only();
         let head = RequestHead::parse(parts, min_body_bytes, is_chunked_only, &self.settings, &self.names)?;
-        if self.open_requests.get() >= self.max_open_requests {
-            return Ok(self.refusal_response(Some(OVERLOAD_RETRY_AFTER)));
-        }
-        let _count = CountGuard::new(&self.open_requests);
-        let body = tokio::select! {
+        let wait_deadline = body_deadline.min(Instant::now() + head.time_left);
+        let arrival = async {
+            let needed_bytes = arriving_bytes(fields, body.size_hint().exact());
+            let Some(memory) = self.acquire_body_memory(connection, needed_bytes, wait_deadline).await else {
+                return Ok(None);
+            };
+            Ok(Some((self.read_body(body, body_deadline).await?, memory)))
+        };
+        let arrived = tokio::select! {
             biased;
-            body = self.read_body(body, body_deadline) => body?,
-            // No server has seen the request, so the client may safely repeat it.
-            () = connection.wait_for_refusal_request() => return Ok(self.last_refusal_response()),
+            arrived = arrival => arrived?,
+            () = connection.wait_for_refusal_request() => None,
         };
+        // No server has seen the request, so the client may safely repeat it.
+        let Some((body, body_memory)) = arrived else { return Ok(self.last_refusal_response()) };
         head.check_body(&body)?;
         connection.mark_request_complete();
+        let open_memory = self.memory.open_requests.try_acquire(OPEN_REQUEST_BYTES);
+        let Some(open_memory) = open_memory.filter(|_| self.open_requests.get() < self.max_open_requests)
+        else {
+            return Ok(self.refusal_response(Some(OVERLOAD_RETRY_AFTER)));
+        };
+        let _count = CountGuard::new(&self.open_requests);
         // The client's time counts from the request's last byte.
         let spent = connection.take_wait() + RESPONSE_MARGIN;
         let deadline = Instant::now() + head.time_left.saturating_sub(spent);
         let deadline = self.drain_deadline.get().map_or(deadline, |drain| deadline.min(drain));
         let id = self.next_request_id.replace(self.next_request_id.get() + 1);
-        let outgoing = Rc::new(OutgoingRequest::new(head.method, head.target, head.headers, body));
+        let memory = [Some(open_memory), body_memory];
+        let outgoing =
+            Rc::new(OutgoingRequest::new(head.method, head.target, head.headers, body).hold_memory(memory));
         // Servers tell requests apart by their X-Txn. A second request with the X-Txn of an open one could
         // run an effect twice, or get the response to the other.
         let Some(_open_request) = OpenRequest::register(self, id, head.txn, outgoing.clone()) else {
@@ -342,19 +410,29 @@
         })
     }
 
+    /// Takes memory for the rest of a request before it is read, and waits for it until the deadline. `None` if there was
+    /// none.
+    async fn acquire_body_memory(
+        &self,
+        connection: &ClientConnection,
+        needed_bytes: usize,
+        deadline: Instant,
+    ) -> Option<Option<MemoryPermit>> {
+        if needed_bytes == 0 {
+            return Some(None);
+        }
+        connection.set_body_memory(BodyMemory::Waiting);
+        let permit = timeout_at(deadline, self.memory.arriving.acquire(needed_bytes)).await;
+        connection.set_body_memory(BodyMemory::Held);
+        permit.ok().flatten().map(Some)
+    }
+
     /// Reads the body of a request.
     async fn read_body(&self, body: Incoming, deadline: Instant) -> Result<Bytes, Rejection> {
-        match timeout_at(deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
-            }
-            Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "the body is broken\n")),
-            Err(_) => {
-                self.servers.counts.increment(Count::TooSlow);
-                Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n"))
-            }
-        }
+        timeout_at(deadline, collect_body(body)).await.unwrap_or_else(|_| {
+            self.servers.counts.increment(Count::TooSlow);
+            Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n"))
+        })
     }
 
     /// The refusal of a node without room, after which the connection is closed.
@@ -377,6 +455,31 @@
     }
 }
 
+/// The memory that a request takes while it arrives, beyond what its connection has: for its fields, and for its body,
+/// whose length is not known if it comes in chunks.
+fn arriving_bytes(fields: usize, body_bytes: Option<u64>) -> usize {
+    let fields_bytes = if fields > UNRESERVED_FIELDS { MANY_FIELDS_BYTES } else { 0 };
+    let body_bytes = body_bytes.map_or(MAX_BODY_BYTES, |bytes| bytes.min(MAX_BODY_BYTES as u64) as usize);
+    let body_bytes = if body_bytes > UNRESERVED_BODY_BYTES { body_bytes } else { 0 };
+    fields_bytes + body_bytes
+}
+
+/// Reads a body into one buffer. The parts that hyper gives are copied and dropped: each of them, however short, would
+/// keep a whole read buffer.
+async fn collect_body(mut incoming: Incoming) -> Result<Bytes, Rejection> {
+    const TOO_LONG: Rejection = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n");
+    let mut body = BytesMut::with_capacity(incoming.size_hint().lower().min(MAX_BODY_BYTES as u64) as usize);
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "the body is broken\n"))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if body.len() + data.len() > MAX_BODY_BYTES {
+            return Err(TOO_LONG);
+        }
+        body.extend_from_slice(&data);
+    }
+    Ok(body.freeze())
+}
+
 /// Adds one to a count until dropped.
 struct CountGuard<'a>(&'a Cell<usize>);
 
--- a/src/bin/woodgap/clients/admission.rs
+++ b/src/bin/woodgap/clients/admission.rs
@@ -18,6 +18,7 @@
 use crate::client_connection::{ArrivalLimits, REQUEST_READ_TIMEOUT};
 use crate::counts::Count;
 use crate::guards::SocketPermit;
+use crate::memory::{MemoryPermit, CLIENT_CONNECTION_BYTES};
 
 /// How long to wait for the socket of an evicted connection to close before trying again.
 const EVICTION_WAIT: Duration = Duration::from_millis(5);
@@ -27,7 +28,7 @@
 /// The same when the sockets for refusals are used up too, so that no connection can be accepted. A client sends its
 /// request right after it connects, so that one that sent nothing for the shorter time has probably stopped. A response
 /// may be half a second late, so that the longer time leaves half of that.
-const URGENT_ARRIVAL_LIMITS: ArrivalLimits =
+pub const URGENT_ARRIVAL_LIMITS: ArrivalLimits =
     ArrivalLimits { max_stall: Duration::from_millis(50), max_total: Duration::from_millis(250) };
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -59,11 +60,13 @@
 
 /// A new connection's right to a socket. Dropping it returns its permits, so it is kept until the socket is closed.
 pub struct Admission {
-    /// Whether the connection is beyond the budget: its first request is refused, and then it is closed.
-    pub is_refused: bool,
+    /// Whether the connection is beyond the budget: its first request is served only if it needs little, else refused, and
+    /// then the connection is closed.
+    pub is_over_budget: bool,
     /// Since when the connection may have waited to be read.
     pub waiting_since: Instant,
     _permits: Vec<SocketPermit>,
+    _memory: Option<MemoryPermit>,
 }
 
 impl Clients {
@@ -79,7 +82,7 @@
                     let _ = stream.set_nodelay(true);
                     let accepted_at = Instant::now();
                     let admission = self.admit(waiting_since).await;
-                    self.record_accept(accepted_at.elapsed(), admission.is_refused);
+                    self.record_accept(accepted_at.elapsed(), admission.is_over_budget);
                     spawn_local(self.clone().serve_connection(stream, admission));
                 }
                 Err(error) => {
@@ -97,31 +100,50 @@
     }
 
     /// Counts a new connection, which has waited this long for its permits.
-    fn record_accept(&self, socket_wait: Duration, is_refused: bool) {
+    fn record_accept(&self, socket_wait: Duration, is_over_budget: bool) {
         let counts = &self.servers.counts;
         counts.increment(Count::Accepted);
-        counts.add(Count::AcceptedOverBudget, usize::from(is_refused));
+        counts.add(Count::AcceptedOverBudget, usize::from(is_over_budget));
         counts.add(Count::SocketWaitMs, socket_wait.as_millis() as usize);
         if socket_wait >= EVICTION_WAIT {
             let socket_wait_ms = socket_wait.as_millis() as u64;
-            tracing::debug!(socket_wait_ms, is_refused, "a new connection waited for a socket");
+            tracing::debug!(socket_wait_ms, is_over_budget, "a new connection waited for a socket");
         }
     }
 
-    /// Takes the permits for a new connection. If the client sockets or the process's sockets are used up, another
-    /// connection without a complete request is evicted and its permits are taken over. If none may be evicted yet, a
-    /// permit for refusals is taken. If these are used up too, connections are evicted sooner.
+    /// Takes the sockets and the memory for a new connection, `None` if there is too little of either.
+    async fn try_admit(&self, waiting_since: Instant) -> Option<Admission> {
+        let client_permit = self.client_sockets.try_acquire()?;
+        let memory = self.acquire_connection_memory().await?;
+        let process_permit = self.servers.acquire_socket().await?;
+        let _permits = vec![client_permit, process_permit];
+        Some(Admission { is_over_budget: false, waiting_since, _permits, _memory: Some(memory) })
+    }
+
+    /// Takes the memory for a new connection, closing idle connections to servers if there is none left.
+    async fn acquire_connection_memory(&self) -> Option<MemoryPermit> {
+        loop {
+            let permit = self.memory.connections.try_acquire(CLIENT_CONNECTION_BYTES);
+            if permit.is_some() || !self.servers.evict_idle() {
+                return permit;
+            }
+            // The closed connection's buffers are dropped when its task runs next.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Takes the permits for a new connection. If the client sockets, the process's sockets or the memory for connections
+    /// are used up, another connection without a complete request is evicted and its permits are taken over. If none may
+    /// be evicted yet, a permit for refusals is taken. If these are used up too, connections are evicted sooner.
     async fn admit(&self, waiting_since: Instant) -> Admission {
         loop {
-            if let Some(client_permit) = self.client_sockets.try_acquire() {
-                if let Some(process_permit) = self.servers.acquire_socket().await {
-                    let _permits = vec![client_permit, process_permit];
-                    return Admission { is_refused: false, waiting_since, _permits };
-                }
+            if let Some(admission) = self.try_admit(waiting_since).await {
+                return admission;
             }
             if !self.evict_connection(&ARRIVAL_LIMITS) {
                 if let Some(permit) = self.refusal_sockets.try_acquire() {
-                    return Admission { is_refused: true, waiting_since, _permits: vec![permit] };
+                    let _permits = vec![permit];
+                    return Admission { is_over_budget: true, waiting_since, _permits, _memory: None };
                 }
                 self.evict_connection(&URGENT_ARRIVAL_LIMITS);
             }
--- a/src/bin/woodgap/exchange.rs
+++ b/src/bin/woodgap/exchange.rs
@@ -25,6 +25,7 @@
 use woodgap::Outcome;
 
 use crate::guards::{AbortOnDrop, SocketPermit};
+use crate::memory::{hold_permit, MemoryPermit, MemoryShare, UNRESERVED_BODY_BYTES};
 use crate::revision_reporter::ACTED_ON_HEADER;
 use crate::stream;
 
@@ -59,6 +60,8 @@
     /// Whether an attempt was handed to a server connection for writing, so that a server may have seen the
     /// request.
     pub was_sent: Cell<bool>,
+    /// The memory that the request takes from the budget until its last attempt has ended.
+    _memory: [Option<MemoryPermit>; 2],
 }
 
 impl OutgoingRequest {
@@ -71,8 +74,15 @@
             body,
             is_finished: Cell::new(false),
             was_sent: Cell::new(false),
+            _memory: [None, None],
         }
     }
+
+    /// Ties memory of the budget to the request.
+    pub fn hold_memory(mut self, memory: [Option<MemoryPermit>; 2]) -> Self {
+        self._memory = memory;
+        self
+    }
 }
 
 /// A server connection's socket, shared by hyper, which reads and writes on it, and the node, which checks it
@@ -92,7 +102,7 @@
 impl AsyncRead for SocketIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let socket = &self.0;
-        let count = ready!(stream::poll_read(&socket.stream, cx, buf))?;
+        let count = ready!(stream::poll_read(&socket.stream, cx, buf, usize::MAX))?;
         let remaining = socket.allowed_bytes.get().checked_sub(count);
         let remaining = remaining
             .ok_or_else(|| io::Error::other("the server sent more than the largest allowed response"))?;
@@ -138,6 +148,9 @@
     pub epoch: u64,
     /// When the connection last became idle.
     pub idle_since: Instant,
+    /// The memory that the connection takes from the budget while it is idle. While it is in use, its request has taken
+    /// the memory for it.
+    pub idle_memory: Option<MemoryPermit>,
 }
 
 /// How a request on a server connection ended.
@@ -178,7 +191,14 @@
             let _permit = permit;
             let _ = connection.await;
         });
-        Ok(ServerConnection { sender, socket, _io_task: io_task, epoch, idle_since: Instant::now() })
+        Ok(ServerConnection {
+            sender,
+            socket,
+            _io_task: io_task,
+            epoch,
+            idle_since: Instant::now(),
+            idle_memory: None,
+        })
     }
 
     /// Whether hyper has noticed that the connection is closed.
@@ -205,7 +225,11 @@
     }
 
     /// Sends a request and reads the whole response.
-    pub async fn send_request(&mut self, request: Request<Full<Bytes>>) -> ExchangeResult {
+    pub async fn send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        memory: &MemoryShare,
+    ) -> ExchangeResult {
         self.socket.allowed_bytes.set(MAX_RESPONSE_BYTES);
         self.socket.has_received_bytes.set(false);
         let response = match self.sender.try_send_request(request).await {
@@ -214,7 +238,7 @@
             Err(error) if error.message().is_some() => return ExchangeResult::Unsent,
             Err(_) => return ExchangeResult::Broken,
         };
-        let result = read_response(response).await;
+        let result = read_response(response, memory).await;
         self.socket.allowed_bytes.set(0);
         result.unwrap_or(ExchangeResult::Broken)
     }
@@ -222,8 +246,9 @@
 
 /// Reads a response with its whole body before any of it is passed on, so that the client has seen nothing of
 /// one that breaks halfway and the attempt still has an outcome. Returns `None` for a malformed, oversized or
-/// broken response.
-async fn read_response(response: Response<Incoming>) -> Option<ExchangeResult> {
+/// broken response. A long body takes its bytes from `memory` before it is read, and keeps them until it is written to
+/// the client; until there are bytes for it the server has to wait.
+async fn read_response(response: Response<Incoming>, memory: &MemoryShare) -> Option<ExchangeResult> {
     let (head, mut incoming) = response.into_parts();
     let framings = [CONTENT_LENGTH, TRANSFER_ENCODING].map(|name| head.headers.contains_key(name));
     let is_upgrade = head.status == StatusCode::SWITCHING_PROTOCOLS;
@@ -235,7 +260,14 @@
     // Without framing headers the body ends with the connection: an orderly close completes it, a reset is an
     // error from `frame` below.
     let allows_reuse = framings != [false, false] || incoming.is_end_stream();
-    let mut body = BytesMut::new();
+    let body_bytes = incoming.size_hint().exact().map_or(MAX_BODY_BYTES, |bytes| bytes as usize);
+    let permit = match body_bytes > UNRESERVED_BODY_BYTES {
+        true => Some(memory.acquire(body_bytes).await?),
+        false => None,
+    };
+    // A body of unknown length usually is short.
+    let is_length_known = incoming.size_hint().exact().is_some();
+    let mut body = BytesMut::with_capacity(if is_length_known { body_bytes } else { 0 });
     while let Some(frame) = timeout(BODY_STALL_TIMEOUT, incoming.frame()).await.ok()? {
         let Ok(data) = frame.ok()?.into_data() else { continue };
         if body.len() + data.len() > MAX_BODY_BYTES {
@@ -243,7 +275,9 @@
         }
         body.extend_from_slice(&data);
     }
-    let (status, headers, body) = (head.status, head.headers, body.freeze());
+    // A short body of unknown length has taken more than it holds.
+    let permit = permit.filter(|_| body.capacity() > UNRESERVED_BODY_BYTES);
+    let (status, headers, body) = (head.status, head.headers, hold_permit(body.freeze(), permit));
     Some(ExchangeResult::Response { status, headers, body, allows_reuse })
 }
 
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod guards;
 mod log;
+mod memory;
 mod peers;
 mod request;
 mod revision_reporter;
@@ -31,6 +32,7 @@
 use clients::Clients;
 use driver::{Driver, DriverMessage};
 use guards::SocketBudget;
+use memory::{read_resident_bytes, MemoryBudget};
 use peers::Peers;
 use revision_reporter::RevisionReporter;
 use servers::Servers;
@@ -39,9 +41,6 @@
 /// Part of the sockets that clients may use. Open requests need as many sockets to servers, and clients keep
 /// idle connections too.
 const CLIENT_SOCKET_FRACTION: f64 = 0.6;
-/// Memory budgeted for one open request: twice its largest request and response body together, so that bodies
-/// take up at most half of the node's memory.
-const OPEN_REQUEST_BYTES: usize = 4 * exchange::MAX_BODY_BYTES;
 
 /// Runs the node until SIGTERM has been handled or one of its main tasks ends.
 async fn run(config: Config, config_path: String) -> Result<(), Box<dyn Error>> {
@@ -56,7 +55,8 @@
     };
     let (tx, rx) = mpsc::unbounded_channel();
     let sockets = config.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS + REJECTION_CONNECTIONS).max(2);
-    let servers = Servers::new(config.node_settings.clone(), SocketBudget::new(sockets));
+    let memory = MemoryBudget::new(config.max_memory_bytes, read_resident_bytes());
+    let servers = Servers::new(config.node_settings.clone(), SocketBudget::new(sockets), memory);
     let reporter = config.is_audited.then(|| RevisionReporter::new(&config.name));
     // Reports go to the address of discovery, where the node's agent listens.
     let agent_addr = std::rc::Rc::new(std::cell::Cell::new(config.discovery));
@@ -66,7 +66,6 @@
     let clients = Clients::new(
         config.settings,
         config.request_names,
-        config.node_settings.max_open_requests.min((config.max_memory_bytes / OPEN_REQUEST_BYTES).max(1)),
         servers,
         (SocketBudget::new(client_sockets), SocketBudget::new(REJECTION_CONNECTIONS)),
         reporter.clone(),
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -23,6 +23,7 @@
     MIN_IDLE_BEFORE_REUSE,
 };
 use crate::guards::{SocketBudget, SocketPermit};
+use crate::memory::{MemoryBudget, SERVER_CONNECTION_BYTES};
 
 /// How often the driver calls [`Servers::close_stale_idle`] and [`Servers::log_cold_sends`].
 pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -67,6 +68,8 @@
     settings: NodeSettings,
     /// The sockets that the node may open, to servers and to clients together.
     socket_budget: Rc<SocketBudget>,
+    /// The bytes that the process may hold.
+    memory: Rc<MemoryBudget>,
     /// The servers of the list that are not terminated.
     entries: RefCell<HashMap<ServerId, ServerEntry>>,
     /// The ids that discovery gives the servers, by the balancer's numbers for them.
@@ -80,9 +83,14 @@
 
 impl Servers {
     /// Creates an empty list of servers whose connections take their sockets from the budget.
-    pub fn new(settings: NodeSettings, socket_budget: Rc<SocketBudget>) -> Rc<Self> {
+    pub fn new(
+        settings: NodeSettings,
+        socket_budget: Rc<SocketBudget>,
+        memory: Rc<MemoryBudget>,
+    ) -> Rc<Self> {
         Rc::new(Servers {
             socket_budget,
+            memory,
             entries: RefCell::default(),
             names: RefCell::default(),
             last_epoch: Cell::new(0),
@@ -180,6 +188,16 @@
         self.settings.drain_time
     }
 
+    /// The bytes that the process may hold.
+    pub fn memory(&self) -> Rc<MemoryBudget> {
+        self.memory.clone()
+    }
+
+    /// Largest number of requests that may be open at a time.
+    pub fn max_open_requests(&self) -> usize {
+        self.settings.max_open_requests
+    }
+
     /// The id that discovery gives a server.
     pub fn server_name(&self, server: ServerId) -> Option<String> {
         self.names.borrow().get(&server.0).cloned()
@@ -229,7 +247,8 @@
         while let Some(index) =
             entry.idle.iter().rposition(|connection| connection.idle_since.elapsed() >= MIN_IDLE_BEFORE_REUSE)
         {
-            let connection = entry.idle.remove(index);
+            let mut connection = entry.idle.remove(index);
+            connection.idle_memory = None;
             if connection.is_reusable() && connection.idle_since.elapsed() < max_idle {
                 self.counts.increment(Count::Reused);
                 return Some(connection);
@@ -246,8 +265,12 @@
         let Some(entry) = entries.get_mut(&server) else { return };
         let is_usable = !entry.is_draining && !entry.is_replaced;
         if entry.epoch == connection.epoch && is_usable && !connection.is_closed() {
-            connection.idle_since = Instant::now();
-            entry.idle.push(connection);
+            // Without memory for it the connection is closed.
+            connection.idle_memory = self.memory.connections.try_acquire(SERVER_CONNECTION_BYTES);
+            if connection.idle_memory.is_some() {
+                connection.idle_since = Instant::now();
+                entry.idle.push(connection);
+            }
         }
     }
 
@@ -337,7 +360,8 @@
             self.record_cold_send(server);
             match timeout_at(
                 deadline,
-                connection.send_request(build_request(request, addr, deadline, acted_on)),
+                connection
+                    .send_request(build_request(request, addr, deadline, acted_on), &self.memory.responses),
             )
             .await
             {
--- a/src/bin/woodgap/servers/tests.rs
+++ b/src/bin/woodgap/servers/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::memory::MemoryBudget;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, LocalSet};
@@ -13,7 +14,7 @@
         load_report_fields: vec!["queue".into(), "util".into()],
         ramp: Default::default(),
     };
-    Servers::new(settings, SocketBudget::new(sockets))
+    Servers::new(settings, SocketBudget::new(sockets), MemoryBudget::new(64 << 20, Some(0)))
 }
 
 fn list_of_one(addr: SocketAddr, state: ServerState, is_complete: bool) -> ServerList {
--- a/src/bin/woodgap/stream.rs
+++ b/src/bin/woodgap/stream.rs
@@ -4,19 +4,27 @@
 use std::io;
 use std::task::{ready, Context, Poll};
 
+use bytes::BufMut;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// Reads into `buf` what has arrived and returns the number of bytes, 0 at the end of the stream.
-pub fn poll_read(stream: &TcpStream, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+/// Most bytes of one read. hyper doubles its buffers after reads that fill the smallest one, of 8 KiB.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
+/// Reads into `buf` what has arrived, `max_bytes` at most, and returns the number of bytes, 0 at the end of the stream.
+pub fn poll_read(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+    max_bytes: usize,
+) -> Poll<io::Result<usize>> {
     loop {
         ready!(stream.poll_read_ready(cx))?;
-        match stream.try_read(buf.initialize_unfilled()) {
+        // Unlike `try_read`, this leaves the rest of the buffer untouched, so that memory which nothing was read into
+        // does not become resident.
+        match stream.try_read_buf(&mut (&mut *buf).limit(MAX_READ_BYTES.min(max_bytes))) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            result => {
-                buf.advance(result.as_ref().copied().unwrap_or(0));
-                return Poll::Ready(result);
-            }
+            result => return Poll::Ready(result),
         }
     }
 }
--- a/tests/node/memory_limit.rs
+++ b/tests/node/memory_limit.rs
@@ -38,6 +38,19 @@
     Pipelined,
 }
 
+impl Crowd {
+    const ALL: [Crowd; 8] = [
+        Crowd::SlowBody,
+        Crowd::SlowHead,
+        Crowd::StoppedBody,
+        Crowd::StoppedHead,
+        Crowd::ManyFields,
+        Crowd::TooManyFields,
+        Crowd::UnreadResponses,
+        Crowd::Pipelined,
+    ];
+}
+
 /// A client of a crowd: its connection, and what it has still to write.
 struct CrowdClient {
     stream: TcpStream,
@@ -107,21 +120,21 @@
 
 /// Presses on a node with a crowd of clients, each of which comes again once its connection is closed. Meanwhile usual
 /// clients send requests; returns how many of them were served, and how many there were.
-fn press(harness: &Harness, crowd: Crowd, clients: usize) -> (usize, usize) {
+fn press(harness: &Harness, crowd: Crowd, clients: usize, duration: Duration) -> (usize, usize) {
     let reads = crowd != Crowd::UnreadResponses && crowd != Crowd::Pipelined;
     let mut crowd_clients: Vec<Option<CrowdClient>> = (0..clients).map(|_| None).collect();
     let (start, mut next_id) = (Instant::now(), 0);
     let addr = harness.addr;
     let usual = std::thread::spawn(move || {
         let (mut served, mut sent) = (0, 0);
-        while start.elapsed() < PRESSURE_TIME {
+        while start.elapsed() < duration {
             std::thread::sleep(Duration::from_millis(20));
             sent += 1;
             served += usize::from(send_usual_request(addr, &format!("usual{sent}")) == Some(200));
         }
         (served, sent)
     });
-    while start.elapsed() < PRESSURE_TIME {
+    while start.elapsed() < duration {
         for client in &mut crowd_clients {
             if client.is_none() {
                 next_id += 1;
@@ -147,23 +160,30 @@
     Message::read(&mut BufReader::new(stream)).map(|response| response.status())
 }
 
+/// A response with a largest body.
+fn long_response() -> &'static str {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGEST_BODY_BYTES}\r\n\r\n");
+    (head + &"r".repeat(LARGEST_BODY_BYTES)).leak()
+}
+
 fn check_crowd(crowd: Crowd, memory_mb: u64, sockets: usize) {
     let harness = Harness::with_limits(4, json!({"sockets": sockets, "memory_mb": memory_mb}));
     if crowd == Crowd::UnreadResponses {
-        let response = format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {LARGEST_BODY_BYTES}\r\n\r\n{}",
-            "r".repeat(LARGEST_BODY_BYTES)
-        );
-        harness.set_behavior(Behavior::RespondRaw(response.leak(), 1));
+        harness.set_behavior(Behavior::RespondRaw(long_response(), 1));
     }
-    let (served, sent) = press(&harness, crowd, sockets * 9 / 10);
-    let peak_kb = read_peak_memory_kb(&harness);
-    let limit_kb = (memory_mb * 1024) as f64 * MAX_RESIDENT_FRACTION;
-    eprintln!("{crowd:?} {memory_mb} MB {sockets} sockets: peak {peak_kb} kB of {limit_kb:.0}, served {served} of {sent}");
-    assert!((peak_kb as f64) < limit_kb, "{crowd:?}: {peak_kb} kB of {limit_kb:.0} kB");
+    let (served, sent) = press(&harness, crowd, sockets * 9 / 10, PRESSURE_TIME);
+    check_peak(&harness, &format!("{crowd:?}"), memory_mb);
     assert!(served * 2 > sent, "{crowd:?}: {served} of {sent} usual requests were served");
 }
 
+/// Checks the peak of the whole resident set against the limit.
+fn check_peak(harness: &Harness, crowd: &str, memory_mb: u64) {
+    let peak_kb = read_peak_memory_kb(harness) as f64;
+    let limit_kb = (memory_mb * 1024) as f64 * MAX_RESIDENT_FRACTION;
+    eprintln!("{crowd}, {memory_mb} MB: peak {peak_kb} kB of {limit_kb} kB");
+    assert!(peak_kb < limit_kb, "{crowd}: {peak_kb} kB of {limit_kb} kB");
+}
+
 /// Checks each of these crowds with the least memory and the most descriptors that a deployment gives.
 fn check_crowds(crowds: &[Crowd]) {
     let check = |&crowd| std::thread::spawn(move || check_crowd(crowd, 32, 1_024));
@@ -172,6 +192,41 @@
     assert_eq!(failures, 0, "of {crowds:?}");
 }
 
+// Memory that one crowd has left in pieces must not add up with what the next one takes.
+#[test]
+fn memory_stays_under_its_limit_while_crowds_follow_one_another() {
+    let limits = [(32, 256), (32, 1_024), (64, 512), (128, 1_024), (192, 1_024)];
+    let check = |(memory_mb, sockets): (u64, usize)| {
+        std::thread::spawn(move || {
+            let harness = Harness::with_limits(4, json!({"sockets": sockets, "memory_mb": memory_mb}));
+            harness.set_behavior(Behavior::RespondRaw(long_response(), 1));
+            for crowd in Crowd::ALL.into_iter().chain(Crowd::ALL.into_iter().rev()) {
+                press(&harness, crowd, sockets * 9 / 10, Duration::from_millis(700));
+                check_peak(&harness, &format!("{sockets} sockets, after {crowd:?}"), memory_mb);
+            }
+            wait_until("served again", || harness.send_request("look", "after").status() == 200);
+        })
+    };
+    let checks: Vec<_> = limits.into_iter().map(check).collect();
+    assert_eq!(checks.into_iter().filter_map(|check| check.join().err()).count(), 0);
+}
+
+// The same with responses that never end, or whose head is long.
+#[test]
+fn memory_stays_under_its_limit_with_servers_that_send_without_end() {
+    for response in [
+        "HTTP/1.1 200 OK\r\n\r\nxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx".to_owned(),
+        format!("HTTP/1.1 200 OK\r\nX-Long: {}\r\nContent-Length: 0\r\n\r\n", "x".repeat(30_000)),
+        format!("HTTP/1.1 200 OK\r\n{}", "a:\r\n".repeat(4_000)),
+    ] {
+        let harness = Harness::with_limits(4, json!({"sockets": 1_024, "memory_mb": 32}));
+        let times = 200_000 / response.len();
+        harness.set_behavior(Behavior::RespondRaw(response.leak(), times));
+        press(&harness, Crowd::Pipelined, 500, PRESSURE_TIME);
+        check_peak(&harness, "endless responses", 32);
+    }
+}
+
 #[test]
 fn memory_stays_under_its_limit_with_clients_that_write_slowly() {
     check_crowds(&[Crowd::SlowBody, Crowd::SlowHead]);
