Of two servers listed at one address, send to the process that started last

The node gave an address to the server that stood last in the newest line, so a whole list that names the new one first, or a later line about the old one, gave the address back to the old one: requests for it, with its group and window, went to the new process.

Now the servers in service at one address are compared over the whole list: the process that started last has it, or where starts are not known the server that came last. The test has both orders and the later line; on the code before it failed (old: Ok, new: ConnectFailed).

--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -81,6 +81,24 @@
     pub counts: Counts,
 }
 
+/// Marks each server in service whose address another one has taken over, so that its requests don't reach that one.
+/// Of two servers at one address the process that started last is there; if the starts are not known, the server that
+/// came to the list last.
+fn mark_replaced(entries: &mut HashMap<ServerId, ServerEntry>) {
+    let mut newest: HashMap<SocketAddr, (u64, u64)> = HashMap::new();
+    for entry in entries.values().filter(|entry| !entry.is_draining && !entry.is_replaced) {
+        let start = (entry.started_at_ms, entry.epoch);
+        let newest = newest.entry(entry.addr).or_insert(start);
+        *newest = start.max(*newest);
+    }
+    for entry in entries.values_mut() {
+        if newest.get(&entry.addr).is_some_and(|&newest| newest != (entry.started_at_ms, entry.epoch)) {
+            entry.is_replaced = true;
+            entry.idle.clear();
+        }
+    }
+}
+
 impl Servers {
     /// Creates an empty list of servers whose connections take their sockets from the budget.
     pub fn new(
@@ -109,7 +127,6 @@
         let mut names = self.names.borrow_mut();
         let mut zones = self.zones.borrow_mut();
         let mut members = Vec::with_capacity(list.entries.len());
-        let mut in_service = Vec::new();
         for listed in &list.entries {
             let number = assign_server_number(&listed.id, &names);
             let server = ServerId(number);
@@ -144,29 +161,20 @@
             }
             if listed.state == ServerState::InService {
                 (entry.is_draining, entry.is_replaced) = (false, false);
-                in_service.push((server, listed.addr));
             } else {
                 entry.is_draining = true;
                 entry.idle.clear();
             }
         }
-        // Requests for a server must not reach another one that has taken over its address.
-        let address_owners: HashMap<SocketAddr, ServerId> =
-            in_service.into_iter().map(|(id, addr)| (addr, id)).collect();
-        for (server, entry) in entries.iter_mut() {
-            if address_owners.get(&entry.addr).is_some_and(|owner| owner != server) {
-                entry.is_replaced = true;
-                entry.idle.clear();
-            }
-        }
         if list.is_complete {
             let listed_servers: std::collections::HashSet<ServerId> =
                 members.iter().map(|member| member.server).collect();
             entries.retain(|server, _| listed_servers.contains(server));
             names.retain(|&number, _| listed_servers.contains(&ServerId(number)));
-            return (SyncKind::Full, members);
         }
-        (SyncKind::Delta, members)
+        mark_replaced(&mut entries);
+        let kind = if list.is_complete { SyncKind::Full } else { SyncKind::Delta };
+        (kind, members)
     }
 
     fn next_epoch(&self) -> u64 {
--- a/src/bin/woodgap/servers/tests.rs
+++ b/src/bin/woodgap/servers/tests.rs
@@ -168,6 +168,44 @@
     LocalSet::new().run_until(run).await;
 }
 
+// Discovery may name the process that has gone for seconds after another one came up at its address, also in a later
+// line. The process that started last is the one at the address.
+#[tokio::test]
+async fn of_two_servers_at_one_address_the_one_that_started_last_gets_requests() {
+    let entry = |id: &str, addr: SocketAddr, up_since_ms: u64| {
+        let mut entry = list_of_one(addr, ServerState::InService, false).entries.remove(0);
+        (entry.id, entry.up_since_ms) = (id.into(), up_since_ms);
+        entry
+    };
+    let run = async {
+        let addr = spawn_server("x").await;
+        let (old, new) = (|| entry("s-old", addr, 1_000), || entry("s-new", addr, 2_000));
+        for lines in [
+            // The whole list, in either order.
+            vec![vec![old(), new()]],
+            vec![vec![new(), old()]],
+            // A later line that tells something of the old one.
+            vec![vec![old()], vec![new()], vec![old()]],
+        ] {
+            let servers = new_servers(8);
+            let mut numbers = HashMap::new();
+            for entries in lines {
+                let ids: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+                let list = ServerList { revision: None, is_complete: false, entries };
+                let members = servers.apply_list(&list).1;
+                numbers.extend(ids.into_iter().zip(members.into_iter().map(|member| member.server)));
+            }
+            let mut outcomes = Vec::new();
+            for id in ["s-old", "s-new"] {
+                let result = send_attempt(&servers, numbers[id], &new_request(), late_deadline()).await;
+                outcomes.push(result.outcome);
+            }
+            assert_eq!(outcomes, [Outcome::ConnectFailed, Outcome::Ok]);
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Opens a listener and fills its backlog, so that further connections do not come up.
 async fn listen_with_full_backlog() -> (SocketAddr, Vec<tokio::net::TcpStream>, TcpListener) {
     let socket = tokio::net::TcpSocket::new_v4().unwrap();
