Repeat calls that fail on the node's own machine, and don't blame servers for them

A socket or connect that fails for want of a descriptor, port, route or memory (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, ENETDOWN, EAGAIN) counted as a failed connection to the server: a small fleet's servers were ejected one after the other and requests refused with 503 at once. Having no socket free counted in the same way. ECONNABORTED from accept evicted a client. A process whose bind, signal pipe or epoll failed for a moment at its start ended.

Now such a call is repeated within the dial time-out after 1 to 16 ms; if it fails to the end, the attempt was not made (Outcome::Moot), which is no sample of the server or the fleet, and a probe that was not made is made again instead of ejecting. accept closes connections only where descriptors or memory are short.

Test: a_request_survives_a_moment_without_descriptors; on the code before it failed (503 for 200).

--- a/src/bin/woodgap/clients/admission.rs
+++ b/src/bin/woodgap/clients/admission.rs
@@ -19,6 +19,7 @@
 use crate::counts::Count;
 use crate::guards::SocketPermit;
 use crate::memory::{MemoryPermit, CLIENT_CONNECTION_BYTES};
+use crate::system_errors::is_shortage;
 
 /// How long to wait for the socket of an evicted connection to close before trying again.
 const EVICTION_WAIT: Duration = Duration::from_millis(5);
@@ -90,6 +91,11 @@
                     // backlog. Without a pause this loop would take the CPU time that closing other sockets
                     // needs.
                     tracing::warn!(%error, "accept failed");
+                    if !is_shortage(&error) {
+                        // It concerns the connection that was to be accepted.
+                        tokio::task::yield_now().await;
+                        continue;
+                    }
                     if !self.servers.evict_idle() {
                         self.evict_connection(&URGENT_ARRIVAL_LIMITS);
                     }
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -40,6 +40,8 @@
     Dialled,
     /// Connections that could not be opened because of an error.
     DialRefused,
+    /// Calls to open a connection that failed on this machine, each time.
+    DialFailedLocally,
     /// Connections that were not up in time: within the dial time-out and the attempt's deadline.
     DialSilent,
     /// Connections that were not opened because no socket was free.
@@ -72,7 +74,7 @@
 }
 
 /// Every count with its name in the log, in the order of [`Count`].
-const COUNTS: [(Count, &str); 32] = [
+const COUNTS: [(Count, &str); 33] = [
     (Count::Requests, "requests"),
     (Count::Served, "served"),
     (Count::RefusedUntried, "refused_untried"),
@@ -92,6 +94,7 @@
     (Count::Reused, "reused"),
     (Count::Dialled, "dialled"),
     (Count::DialRefused, "dial_refused"),
+    (Count::DialFailedLocally, "dial_failed_locally"),
     (Count::DialSilent, "dial_silent"),
     (Count::NoSocket, "no_socket"),
     (Count::IdleExpired, "idle_expired"),
@@ -108,9 +111,14 @@
 ];
 
 /// The counts since the start of the node.
-#[derive(Default)]
 pub struct Counts([Cell<u64>; COUNTS.len()]);
 
+impl Default for Counts {
+    fn default() -> Self {
+        Counts([const { Cell::new(0) }; COUNTS.len()])
+    }
+}
+
 impl Counts {
     /// Adds 1 to a count.
     pub fn increment(&self, count: Count) {
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -19,8 +19,11 @@
 mod revision_reporter;
 mod servers;
 mod stream;
+mod system_errors;
 
 use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use tokio::net::TcpListener;
@@ -36,6 +39,7 @@
 use peers::Peers;
 use revision_reporter::RevisionReporter;
 use servers::Servers;
+use system_errors::retry_at_start;
 use woodgap::config::{self, Config, REJECTION_CONNECTIONS, RESERVED_DESCRIPTORS};
 
 /// Part of the sockets that clients may use. Open requests need as many sockets to servers, and clients keep
@@ -45,9 +49,9 @@
 /// Runs the node until SIGTERM has been handled or one of its main tasks ends.
 async fn run(config: Config, config_path: String) -> Result<(), Box<dyn Error>> {
     // Installed before the node reports that it is ready: a SIGHUP without a handler ends the process.
-    let mut term = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let mut term = retry_at_start(|| signal(SignalKind::terminate()))?;
+    let mut hangup = retry_at_start(|| signal(SignalKind::hangup()))?;
+    let listener = retry_at_start(|| bind_listener(config.listen))?;
     let listen = listener.local_addr()?;
     let peers = match config.peer_listen {
         Some(listen) => Some(Peers::bind(listen, config.peers.clone(), config.peer_broadcast).await?),
@@ -112,6 +116,13 @@
     }
 }
 
+/// Opens the socket on which clients connect.
+fn bind_listener(listen: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
 fn read_file(path: &str) -> Result<String, Box<dyn Error>> {
     Ok(std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?)
 }
@@ -122,6 +133,7 @@
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
+    retry_at_start(|| std::fs::File::open(path).map(drop)).map_err(|error| format!("{path}: {error}"))?;
     let (config, findings) = Config::parse(&read_file(path)?, &env);
     let config = config.ok_or_else(|| format!("{path}: {findings}"))?;
     log::init(&env)?;
@@ -140,7 +152,7 @@
             findings.defaults().iter().map(|(path, default)| format!("{path}={default}")).collect();
         warn!(assumed = defaults.join(" "), "settings missing; using defaults");
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = retry_at_start(|| tokio::runtime::Builder::new_current_thread().enable_all().build())?;
     runtime.block_on(LocalSet::new().run_until(run(config, path.clone())))
 }
 
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +9,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 use woodgap::config::NodeSettings;
 use woodgap::list::{assign_server_number, ServerList};
 use woodgap::settings::ZoneIds;
@@ -24,6 +23,7 @@
 };
 use crate::guards::{SocketBudget, SocketPermit};
 use crate::memory::{MemoryBudget, SERVER_CONNECTION_BYTES};
+use crate::system_errors::is_local;
 
 /// How often the driver calls [`Servers::close_stale_idle`] and [`Servers::log_cold_sends`].
 pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -31,6 +31,21 @@
 /// the server's close on the wire ends as a reset, and an unsafe request can't be sent again after one.
 const KEEPALIVE_REUSE_FRACTION: f64 = 0.6;
 
+/// Delay before a call that failed on this machine is repeated, doubled each time up to the longest.
+const MIN_DIAL_RETRY_DELAY: Duration = Duration::from_millis(1);
+const MAX_DIAL_RETRY_DELAY: Duration = Duration::from_millis(16);
+
+/// Why a connection to a server could not be opened.
+#[derive(Debug)]
+enum DialError {
+    /// The server, or its machine, refused it.
+    Refused,
+    /// It was not up by the deadline.
+    Silent,
+    /// The node's own machine has no socket, port or route for it. This says nothing about the server.
+    Local,
+}
+
 /// The result of an attempt or a probe.
 pub struct AttemptResult {
     pub outcome: Outcome,
@@ -297,16 +312,36 @@
         }
     }
 
-    /// Opens a connection to a server.
-    async fn dial(&self, addr: SocketAddr, epoch: u64) -> io::Result<ServerConnection> {
-        let Some(permit) = self.acquire_socket().await else {
-            self.counts.increment(Count::NoSocket);
-            return Err(io::Error::other("no socket is free"));
-        };
+    /// Opens a connection to a server by the deadline. A call that fails on this machine is repeated, because it says
+    /// nothing about the server.
+    async fn dial(
+        &self,
+        addr: SocketAddr,
+        epoch: u64,
+        deadline: Instant,
+    ) -> Result<ServerConnection, DialError> {
         self.counts.increment(Count::Dialled);
-        ServerConnection::dial(addr, epoch, permit)
-            .await
-            .inspect_err(|_| self.counts.increment(Count::DialRefused))
+        let mut delay = MIN_DIAL_RETRY_DELAY;
+        loop {
+            let Some(permit) = self.acquire_socket().await else {
+                self.counts.increment(Count::NoSocket);
+                return Err(DialError::Local);
+            };
+            match timeout_at(deadline, ServerConnection::dial(addr, epoch, permit)).await {
+                Ok(Ok(connection)) => return Ok(connection),
+                Ok(Err(error)) if is_local(&error) => self.counts.increment(Count::DialFailedLocally),
+                Ok(Err(_)) => {
+                    self.counts.increment(Count::DialRefused);
+                    return Err(DialError::Refused);
+                }
+                Err(_) => return Err(DialError::Silent),
+            }
+            if Instant::now() + delay >= deadline {
+                return Err(DialError::Local);
+            }
+            sleep(delay).await;
+            delay = (delay * 2).min(MAX_DIAL_RETRY_DELAY);
+        }
     }
 
     // Attempts.
@@ -330,14 +365,15 @@
                 Some(connection) => (connection, true),
                 None => {
                     let dial_deadline = send_by.min(Instant::now() + self.settings.dial_timeout);
-                    match timeout_at(dial_deadline, self.dial(addr, epoch)).await {
-                        Ok(Ok(connection)) => (connection, false),
-                        Ok(Err(_)) => return Outcome::ConnectFailed.into(),
+                    match self.dial(addr, epoch, dial_deadline).await {
+                        Ok(connection) => (connection, false),
+                        Err(DialError::Refused) => return Outcome::ConnectFailed.into(),
+                        Err(DialError::Local) => return Outcome::Moot.into(),
                         // Cut short by `send_by`, which says nothing about the server.
-                        Err(_) if send_by < deadline && Instant::now() >= send_by => {
+                        Err(DialError::Silent) if send_by < deadline && Instant::now() >= send_by => {
                             return Outcome::Moot.into();
                         }
-                        Err(_) => {
+                        Err(DialError::Silent) => {
                             self.counts.increment(Count::DialSilent);
                             return Outcome::ConnectFailed.into();
                         }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -308,10 +308,12 @@
         self.settings.can_probe && !self.is_large_group
     }
 
-    /// Reinstates the server if the probe succeeded, else ejects it for a longer time.
+    /// Reinstates the server if the probe succeeded, and ejects it for a longer time if it failed. A probe
+    /// that was not sent says nothing, and the next sweep sends another one.
     pub(super) fn on_probe_ended(&mut self, id: ServerId, outcome: Outcome) {
         match self.server_index.get(&id) {
             Some(&index) if outcome == Outcome::Ok => self.servers[index].reinstate(),
+            Some(&index) if outcome == Outcome::Moot => self.servers[index].is_on_trial = false,
             Some(&index) => self.eject(index),
             None => {}
         }
--- a/tests/node/resource_limits.rs
+++ b/tests/node/resource_limits.rs
@@ -49,6 +49,29 @@
     wait_until("served again", || harness.send_request("look", "after").status() == 200);
 }
 
+// A call that fails on the node's own machine says nothing about the server: the request is served once there is a
+// descriptor, and no server is taken for broken.
+#[test]
+fn a_request_survives_a_moment_without_descriptors() {
+    let harness = Harness::with_limits(2, json!({"sockets": 256}));
+    // Each request needs a connection of its own.
+    harness.set_behavior(Behavior::ServeAndClose);
+    for round in 0..5 {
+        let mut client = harness.connect();
+        client.write_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        let mut client = BufReader::new(client);
+        assert_eq!(Message::read(&mut client).unwrap().status(), 200);
+        harness.limit_descriptors("4");
+        client.get_mut().write_all(&request_bytes("pay", &format!("{round}"), 60_000)).unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        assert!(harness.take_requests().is_empty());
+        harness.limit_descriptors("256");
+        assert_eq!(Message::read(&mut client).expect("a response").status(), 200, "round {round}");
+        assert_eq!(harness.take_requests().len(), 1);
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+}
+
 // For new connections the node evicts silent ones, but never a connection whose request has arrived and is
 // still unread.
 #[test]
