Fail a request that comes again under the id of one that must not run twice

Shown here: the node knew ids only while their requests were open, so a POST that a server was running, or had run, ran again when its id came again.

Requests that are safe to repeat, refused, or never sent are served again.

On the code before, a_request_that_may_have_run_does_not_run_again_under_its_id failed ((200, 200, 2) for (200, 409, 1)), and so did a_request_does_not_run_again_under_its_id_after_its_client_has_gone. Tests that gave several requests one id by accident take fresh ones now.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -2,7 +2,7 @@
 //! responses.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,9 +20,11 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use woodgap::config::REJECTION_CONNECTIONS;
 use woodgap::settings::RequestNames;
-use woodgap::{ClassId, Settings, TenantId};
+use woodgap::{ClassId, Semantics, Settings, TenantId};
 
 use admission::{Admission, URGENT_ARRIVAL_LIMITS};
+use request_ids::IdConflict;
+pub use request_ids::RequestIds;
 
 use crate::client_connection::{BodyMemory, ClientConnection, ClientSocket, Phase, REQUEST_READ_TIMEOUT};
 use crate::counts::Count;
@@ -38,6 +40,7 @@
 use crate::servers::Servers;
 
 mod admission;
+mod request_ids;
 
 /// Largest head of a request.
 pub const MAX_REQUEST_HEAD_BYTES: usize = 16 * 1024;
@@ -96,8 +99,8 @@
     open_requests: Cell<usize>,
     /// Requests on connections beyond the budget that are being served.
     served_over_budget: Cell<usize>,
-    /// The `X-Txn` of each request that waits for its response.
-    open_txns: RefCell<HashSet<String>>,
+    /// The ids of open requests, and of ended ones that must not run again.
+    request_ids: RefCell<RequestIds>,
     next_connection_id: Cell<u64>,
     connections: RefCell<HashMap<u64, Rc<ClientConnection>>>,
     /// Set at SIGTERM: when all requests must have been answered.
@@ -115,6 +118,7 @@
         settings: Settings,
         names: RequestNames,
         servers: Rc<Servers>,
+        request_ids: RequestIds,
         sockets: (Rc<SocketBudget>, Rc<SocketBudget>),
         reporter: Option<Rc<RevisionReporter>>,
         driver: mpsc::UnboundedSender<DriverMessage>,
@@ -132,7 +136,7 @@
             next_request_id: Cell::new(1),
             open_requests: Cell::new(0),
             served_over_budget: Cell::new(0),
-            open_txns: RefCell::default(),
+            request_ids: RefCell::new(request_ids),
             next_connection_id: Cell::new(0),
             connections: RefCell::default(),
             drain_deadline: Cell::new(None),
@@ -382,9 +386,12 @@
             Rc::new(OutgoingRequest::new(head.method, head.target, head.headers, body).hold_memory(memory));
         // Servers tell requests apart by their X-Txn. A second request with the X-Txn of an open one could
         // run an effect twice, or get the response to the other.
-        let Some(_open_request) = OpenRequest::register(self, id, head.txn, outgoing.clone()) else {
-            return Err((StatusCode::CONFLICT, "a request with this X-Txn is open\n"));
-        };
+        let is_safe = self.settings.classes[head.class].semantics == Semantics::Safe;
+        let open_request = OpenRequest::register(self, id, &head.txn, is_safe, outgoing.clone());
+        let open_request = open_request.map_err(|conflict| match conflict {
+            IdConflict::Open => (StatusCode::CONFLICT, "a request with this X-Txn is open\n"),
+            IdConflict::MayHaveRun => (StatusCode::CONFLICT, "the request with this X-Txn may have run\n"),
+        })?;
         let (reply, response) = oneshot::channel();
         let client_request = ClientRequest {
             id,
@@ -402,7 +409,10 @@
         }
         Ok(match response.await {
             Ok(ClientResponse::Served(headers, body)) => server_response(headers, body),
-            Ok(ClientResponse::Refused(retry_after)) => self.refusal_response(retry_after),
+            Ok(ClientResponse::Refused(retry_after)) => {
+                open_request.is_refused.set(true);
+                self.refusal_response(retry_after)
+            }
             Ok(ClientResponse::Failed) => text_response(StatusCode::BAD_GATEWAY, "failed\n"),
             Ok(ClientResponse::DeadlineExceeded) | Err(_) => {
                 text_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n")
@@ -501,21 +511,33 @@
 struct OpenRequest<'a> {
     clients: &'a Clients,
     id: u64,
-    txn: String,
+    /// The hash of the client's id.
+    txn_hash: u128,
+    /// Whether requests of the class may run more than once.
+    is_safe: bool,
+    /// Whether the client is told that it may repeat the request.
+    is_refused: Cell<bool>,
     outgoing: Rc<OutgoingRequest>,
 }
 
 impl<'a> OpenRequest<'a> {
-    /// Registers the request's `X-Txn`; `None` if an open request has the same one.
-    fn register(clients: &'a Clients, id: u64, txn: String, outgoing: Rc<OutgoingRequest>) -> Option<Self> {
-        let is_new = clients.open_txns.borrow_mut().insert(txn.clone());
-        is_new.then(|| OpenRequest { clients, id, txn, outgoing })
+    /// Registers the request's `X-Txn`, or says why it can't have it.
+    fn register(
+        clients: &'a Clients,
+        id: u64,
+        txn: &str,
+        is_safe: bool,
+        outgoing: Rc<OutgoingRequest>,
+    ) -> Result<Self, IdConflict> {
+        let txn_hash = clients.request_ids.borrow_mut().open(txn)?;
+        Ok(OpenRequest { clients, id, txn_hash, is_safe, is_refused: Cell::new(false), outgoing })
     }
 }
 
 impl Drop for OpenRequest<'_> {
     fn drop(&mut self) {
-        self.clients.open_txns.borrow_mut().remove(&self.txn);
+        let may_not_repeat = !self.is_safe && !self.is_refused.get() && self.outgoing.was_sent.get();
+        self.clients.request_ids.borrow_mut().end(self.txn_hash, may_not_repeat);
         // Set here and not only when the driver handles the message: an attempt may be about to be written.
         self.outgoing.is_finished.set(true);
         // If the request was answered, the driver has forgotten the id or knows that the request has ended.
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -32,7 +32,7 @@
 use tokio::task::{spawn_local, LocalSet};
 use tracing::{info, info_span, warn};
 
-use clients::Clients;
+use clients::{Clients, RequestIds};
 use driver::{Driver, DriverMessage};
 use guards::SocketBudget;
 use memory::{read_resident_bytes, MemoryBudget};
@@ -71,6 +71,7 @@
         config.settings,
         config.request_names,
         servers,
+        RequestIds::new(config.max_memory_bytes),
         (SocketBudget::new(client_sockets), SocketBudget::new(REJECTION_CONNECTIONS)),
         reporter.clone(),
         tx.clone(),
--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -5,6 +5,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -421,6 +422,12 @@
     addr.parse().ok()
 }
 
+/// An id that no other request of this test process has, as clients give their requests.
+pub fn fresh_id() -> String {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    format!("id{}", LAST.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A request of this class with this id that has this much time left.
 pub fn request_bytes(class: &str, id: &str, left_ms: u64) -> Vec<u8> {
     request_bytes_with_key("7f3a", class, id, left_ms)
--- a/tests/node/links.rs
+++ b/tests/node/links.rs
@@ -73,7 +73,7 @@
     assert_eq!((response.status(), response.header("connection")), (503, "close"));
     harness.set_behavior(Behavior::Serve);
     drop(held);
-    wait_until("served again", || harness.send_request("pay", "2").status() == 200);
+    wait_until("served again", || harness.send_request("pay", &fresh_id()).status() == 200);
 }
 
 // A server that rejects requests while its cores are idle, because of a rate limit or by chance, is not overloaded:
@@ -88,12 +88,18 @@
         *harness.behaviors[owner].lock().unwrap() = Behavior::RespondEmpty(head);
         for key in &keys[..5] {
             // Another server serves the request.
-            assert_eq!(harness.send_raw(&request_bytes_with_key(key, "pay", key, 60_000)).status(), 200);
+            assert_eq!(
+                harness.send_raw(&request_bytes_with_key(key, "pay", &fresh_id(), 60_000)).status(),
+                200
+            );
         }
         *harness.behaviors[owner].lock().unwrap() = Behavior::Serve;
         harness.take_requests();
         for key in &keys {
-            assert_eq!(harness.send_raw(&request_bytes_with_key(key, "pay", key, 60_000)).status(), 200);
+            assert_eq!(
+                harness.send_raw(&request_bytes_with_key(key, "pay", &fresh_id(), 60_000)).status(),
+                200
+            );
         }
         let kept = harness.take_requests().iter().filter(|(server, _)| *server == owner).count();
         assert_eq!(kept == keys.len(), is_kept, "util {util}: {kept} of {}", keys.len());
--- a/tests/node/list.rs
+++ b/tests/node/list.rs
@@ -9,11 +9,9 @@
 
 /// Waits until requests reach only these servers.
 fn wait_until_only_used(harness: &Harness, servers: &[usize]) {
-    let mut round = 0;
     wait_until("only the listed servers are used", || {
-        round += 1;
         harness.take_requests();
-        (0..8).for_each(|n| assert_eq!(harness.send_request("pay", &format!("{round}-{n}")).status(), 200));
+        (0..8).for_each(|_| assert_eq!(harness.send_request("pay", &fresh_id()).status(), 200));
         harness.take_requests().iter().all(|(server, _)| servers.contains(server))
     });
 }
@@ -110,7 +108,7 @@
         let (request, mut stream) = watches.recv_timeout(TEST_TIMEOUT).expect("a watch at the new address");
         assert!(request.start_line.contains("index=0 "), "{}", request.start_line);
         // The old list stays in use until the new one arrives.
-        assert_eq!(harness.send_request("pay", "1").status(), 200);
+        assert_eq!(harness.send_request("pay", &fresh_id()).status(), 200);
         let list = json!({"revision": 7, "complete": true, "members": [harness.members[server]]});
         write_chunk(&mut stream, &format!("{list}\n"));
         wait_until_only_used(&harness, &[server]);
--- a/tests/node/requests.rs
+++ b/tests/node/requests.rs
@@ -34,7 +34,72 @@
     harness.set_behavior(Behavior::Serve);
     let response = Message::read(&mut BufReader::new(first)).unwrap();
     assert_eq!((response.status(), response.body.as_slice()), (200, b"same".as_slice()));
+}
+
+// An id is the client's name for one request, so a request that comes again under its id must not run a second time if its
+// class forbids it.
+#[test]
+fn a_request_that_may_have_run_does_not_run_again_under_its_id() {
+    let harness = Harness::new(1);
+    let runs_of_two = |class: &str, id: &str, behavior: Behavior| {
+        harness.set_behavior(behavior);
+        let first = harness.send_request(class, id).status();
+        harness.set_behavior(Behavior::Serve);
+        let second = harness.send_request(class, id).status();
+        (first, second, harness.take_requests().len())
+    };
+    let turned_away = Behavior::RespondEmpty("503 Full\r\nX-Turned-Away: 1");
+    // Answered: only a class that is safe to repeat is served again.
+    assert_eq!(runs_of_two("look", "1", Behavior::Serve), (200, 200, 2));
+    assert_eq!(runs_of_two("pay", "2", Behavior::Serve), (200, 409, 1));
+    assert_eq!(runs_of_two("put", "3", Behavior::Serve), (200, 409, 1));
+    // Failed after it may have run.
+    assert_eq!(runs_of_two("pay", "4", Behavior::CloseUnanswered), (502, 409, 1));
+    // Refused: no server has run it.
+    let (first, second, _) = runs_of_two("pay", "5", turned_away);
+    assert_eq!((first, second), (503, 200));
+}
+
+#[test]
+fn a_request_does_not_run_again_under_its_id_after_its_client_has_gone() {
+    for (class, is_safe) in [("look", true), ("pay", false), ("put", false)] {
+        let harness = Harness::new(1);
+        harness.set_behavior(Behavior::Hold);
+        let mut gone = harness.connect();
+        gone.write_all(&request_bytes(class, "same", 60_000)).unwrap();
+        wait_until("the server has the request", || !harness.take_requests().is_empty());
+        drop(gone);
+        harness.set_behavior(Behavior::Serve);
+        // Until the node notices the close, the first request is open.
+        let expected = if is_safe { 200 } else { 409 };
+        wait_until("the close is noticed", || {
+            let status = harness.send_request(class, "same").status();
+            assert!([expected, 409].contains(&status), "{class}: {status}");
+            status == expected
+        });
+        assert_eq!(harness.take_requests().len(), usize::from(is_safe), "{class}");
+    }
+}
+
+// A request of which a server has seen nothing runs under its id when it comes again.
+#[test]
+fn a_request_that_was_not_sent_runs_when_it_comes_again() {
+    let harness = Harness::new(1);
+    let request = request_bytes("pay", "same", 60_000);
+    let mut gone = harness.connect();
+    gone.write_all(&request[..request.len() - 1]).unwrap();
+    drop(gone);
+    assert_eq!(harness.send_request("pay", "same").status(), 200);
+    assert_eq!(harness.take_requests().len(), 1);
+}
+
+// A node keeps nothing over its end, so a restarted one knows no ids.
+#[test]
+fn a_restarted_node_has_forgotten_all_ids() {
+    let harness = Harness::new(1);
     assert_eq!(harness.send_request("pay", "same").status(), 200);
+    let restarted = Harness::new(1);
+    assert_eq!(restarted.send_request("pay", "same").status(), 200);
 }
 
 #[test]
--- a/tests/node/resource_limits.rs
+++ b/tests/node/resource_limits.rs
@@ -16,14 +16,13 @@
     write_chunk(&mut watch, "\n");
     drop(watch);
     let idle_clients: Vec<_> = (0..100).map(|_| harness.connect()).collect();
-    wait_until("served", || harness.send_request("pay", "1").status() == 200);
+    wait_until("served", || harness.send_request("pay", &fresh_id()).status() == 200);
     // Discovery is back and lists one server less.
     let list = json!({"revision": 50, "complete": true, "members": harness.members[1..]});
     write_chunk(&mut harness.next_watch().1, &format!("{list}\n"));
     wait_until("the node uses the new list", || {
         harness.take_requests();
-        let served =
-            (0..6).filter(|n| harness.send_request("pay", &format!("2-{n}")).status() == 200).count();
+        let served = (0..6).filter(|_| harness.send_request("pay", &fresh_id()).status() == 200).count();
         served > 0 && harness.take_requests().iter().all(|(server, _)| *server == 1)
     });
     drop(idle_clients);
