Keep cold servers cold after a step of a wall clock

The node's spans were monotonic already; the one place where Unix time counts is the start of a server, which says how cold it is. After a step back of all clocks, a server that had just started looked an hour old and warm, and got its full share at once; after a step forward it stayed cold for an hour.

A start is now converted to the node's clock when a server is first listed. If the wall clock differs from the monotonic one by then, it is not known whose clock was stepped, and the server counts as started as late as either clock allows. Without a step nothing changes. The clock and the starts have a module of their own, which takes them out of driver.rs.

--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::HeaderMap;
@@ -18,6 +18,7 @@
     ServerId, SyncKind, TenantId, TimerId,
 };
 
+use crate::clock::Clock;
 use crate::counts::Count;
 use crate::discovery::{watch, EndpointKind};
 use crate::exchange::OutgoingRequest;
@@ -155,18 +156,6 @@
     maintenance_runs: u64,
 }
 
-/// The balancer's clock: Unix time at process start, then monotonic. Servers' Unix times need no conversion.
-struct Clock {
-    start: Instant,
-    unix_start: Micros,
-}
-
-impl Clock {
-    fn now(&self) -> Micros {
-        self.unix_start + self.start.elapsed().as_micros() as Micros
-    }
-}
-
 impl Driver {
     /// Creates the driver. `tx` is the sending side of the channel that [`Driver::run`] reads.
     pub fn new(
@@ -176,11 +165,9 @@
         reporter: Option<Rc<RevisionReporter>>,
         tx: mpsc::UnboundedSender<DriverMessage>,
     ) -> Self {
-        let unix_start =
-            SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         Driver {
             balancer: Balancer::new(config.settings.clone(), config.seed),
-            clock: Clock { start: Instant::now(), unix_start },
+            clock: Clock::new(),
             pending: HashMap::new(),
             schedule: DelayQueue::new(),
             events: VecDeque::new(),
@@ -201,7 +188,8 @@
     /// Starts the balancer with the list of the configuration, which is the last one that this node had.
     pub fn start(&mut self, cached_list: &ServerList) {
         self.set_revision(cached_list.revision.unwrap_or(0));
-        let (_, members) = self.servers.apply_list(cached_list);
+        let (kind, mut members) = self.servers.apply_list(cached_list);
+        self.clock.correct_starts(kind, &mut members);
         self.events.push_back(Event::Sync { kind: SyncKind::Cached, members });
         self.schedule.insert(Scheduled::Maintenance, MAINTENANCE_INTERVAL);
         if self.discovery_mode == DiscoveryMode::Push {
@@ -401,7 +389,8 @@
             return;
         }
         self.set_revision(list.revision.unwrap_or(self.revision));
-        let (kind, members) = self.servers.apply_list(list);
+        let (kind, mut members) = self.servers.apply_list(list);
+        self.clock.correct_starts(kind, &mut members);
         tracing::debug!(revision = self.revision, ?kind, entries = members.len(), "list");
         self.events.push_back(Event::Sync { kind, members });
     }
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -6,6 +6,7 @@
 
 mod client_connection;
 mod clients;
+mod clock;
 mod cold;
 mod counts;
 mod discovery;
