Look for the client's close right before an attempt is written

Now the check right before the write looks at the client's socket itself (a peek), besides the flag that is set when the close is noticed. Further bytes before a close hide it from this look; then the flag counts, as before.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -263,6 +263,15 @@
             || SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|count| count > 0)
     }
 
+    /// Whether the client has closed or reset the connection, as far as no unread bytes stand before its close.
+    pub fn has_client_closed(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(count) => count == 0,
+            Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
     /// Whether closing the connection at once loses no request that has arrived unread.
     pub fn can_close_without_loss(&self) -> bool {
         self.phase.get() == Phase::Closing || !self.has_unread_bytes()
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -304,7 +304,7 @@
     async fn handle_over_budget(
         &self,
         request: Request<Incoming>,
-        connection: &ClientConnection,
+        connection: &Rc<ClientConnection>,
         body_deadline: Instant,
     ) -> Response<Full<Bytes>> {
         let needed_bytes = arriving_bytes(request.headers().len(), request.body().size_hint().exact());
@@ -319,7 +319,7 @@
     async fn handle_request(
         &self,
         request: Request<Incoming>,
-        connection: &ClientConnection,
+        connection: &Rc<ClientConnection>,
         body_deadline: Instant,
     ) -> (Response<Full<Bytes>>, bool) {
         match request.uri().path() {
@@ -345,7 +345,7 @@
     async fn forward_request(
         &self,
         request: Request<Incoming>,
-        connection: &ClientConnection,
+        connection: &Rc<ClientConnection>,
         body_deadline: Instant,
     ) -> Result<Response<Full<Bytes>>, Rejection> {
         let (parts, body) = request.into_parts();
@@ -382,8 +382,8 @@
         let deadline = self.drain_deadline.get().map_or(deadline, |drain| deadline.min(drain));
         let id = self.next_request_id.replace(self.next_request_id.get() + 1);
         let memory = [Some(open_memory), body_memory];
-        let outgoing =
-            Rc::new(OutgoingRequest::new(head.method, head.target, head.headers, body).hold_memory(memory));
+        let outgoing = OutgoingRequest::new(head.method, head.target, head.headers, body).hold_memory(memory);
+        let outgoing = Rc::new(outgoing.for_client(connection));
         // Servers tell requests apart by their X-Txn. A second request with the X-Txn of an open one could
         // run an effect twice, or get the response to the other.
         let is_safe = self.settings.classes[head.class].semantics == Semantics::Safe;
--- a/src/bin/woodgap/exchange.rs
+++ b/src/bin/woodgap/exchange.rs
@@ -7,7 +7,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
 use tokio::time::{timeout, Instant};
 use woodgap::Outcome;
 
+use crate::client_connection::ClientConnection;
 use crate::guards::{AbortOnDrop, SocketPermit};
 use crate::memory::{hold_permit, MemoryPermit, MemoryShare, UNRESERVED_BODY_BYTES};
 use crate::revision_reporter::ACTED_ON_HEADER;
@@ -60,6 +61,8 @@
     /// Whether an attempt was handed to a server connection for writing, so that a server may have seen the
     /// request.
     pub was_sent: Cell<bool>,
+    /// The connection of the client that waits for the response; `None` for a probe.
+    client: Option<Weak<ClientConnection>>,
     /// The memory that the request takes from the budget until its last attempt has ended.
     _memory: [Option<MemoryPermit>; 2],
 }
@@ -74,10 +77,26 @@
             body,
             is_finished: Cell::new(false),
             was_sent: Cell::new(false),
+            client: None,
             _memory: [None, None],
         }
     }
 
+    /// Ties the request to the connection of its client.
+    pub fn for_client(mut self, client: &Rc<ClientConnection>) -> Self {
+        self.client = Some(Rc::downgrade(client));
+        self
+    }
+
+    /// Whether the request was answered or its client has closed its connection. Looks at the connection itself: if the
+    /// process was held up, the close may have arrived without having been noticed.
+    pub fn is_over(&self) -> bool {
+        let has_client_gone = |client: &Weak<ClientConnection>| {
+            client.upgrade().is_none_or(|client| client.has_client_closed())
+        };
+        self.is_finished.get() || self.client.as_ref().is_some_and(has_client_gone)
+    }
+
     /// Ties memory of the budget to the request.
     pub fn hold_memory(mut self, memory: [Option<MemoryPermit>; 2]) -> Self {
         self._memory = memory;
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -387,7 +387,7 @@
                 return Outcome::ConnectFailed.into();
             }
             // While the connection came up, the client may have left or `send_by` may have passed.
-            if request.is_finished.get() || (send_by < deadline && Instant::now() >= send_by) {
+            if request.is_over() || (send_by < deadline && Instant::now() >= send_by) {
                 self.keep_idle(server, connection);
                 return Outcome::Moot.into();
             }
