Bound the time for which a new connection may have waited, and let stopped heads go sooner

The wait of a new connection is taken off its request's time. It was bounded by the last moment at which the backlog was empty.

A connection that is accepted now came after the one before it by a whole backlog was accepted, since the backlog is a queue: that bounds the wait by the time that the node needs for one backlog.

When connections are short, a request that has begun to arrive may be evicted after 0.1 s without a byte or 0.5 s in total (0.5 and 2.5 s before); one that waits for memory for its head can be refused too, before it could not, since its bytes are unread. A new connection without a byte keeps its 0.5 s.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -59,7 +59,9 @@
 
 /// How long a request may take to arrive before its connection is evicted.
 pub struct ArrivalLimits {
-    /// Longest time without any byte.
+    /// Longest time before the first byte of a new connection.
+    pub max_silence: Duration,
+    /// Longest time without any byte of a request that has begun to arrive.
     pub max_stall: Duration,
     /// Longest time in total, from the connect or from the first byte of a later request.
     pub max_total: Duration,
@@ -312,11 +314,13 @@
                 fraction(self.phase_since.get(), limits.max_total)
             }
             Phase::New | Phase::ReadingHead if self.head_wait().is_some() => {
-                self.head_wait().unwrap_or_default().as_secs_f64() / limits.max_total.as_secs_f64()
+                self.head_wait().unwrap_or_default().as_secs_f64() / limits.max_stall.as_secs_f64()
             }
             Phase::New | Phase::ReadingHead | Phase::RequestOpen => {
                 let active_at = self.phase_since.get().max(self.last_byte_at.get());
-                let stalled = fraction(active_at, limits.max_stall);
+                let is_silent = self.phase.get() == Phase::New && !self.framing.borrow().has_received_bytes();
+                let max_stall = if is_silent { limits.max_silence } else { limits.max_stall };
+                let stalled = fraction(active_at, max_stall);
                 stalled.max(fraction(self.request_began_at.get(), limits.max_total))
             }
         }
--- a/src/bin/woodgap/client_connection/tests.rs
+++ b/src/bin/woodgap/client_connection/tests.rs
@@ -13,8 +13,11 @@
 }
 
 /// The limits in these tests: half a second without a byte, two seconds in total.
-const LIMITS: ArrivalLimits =
-    ArrivalLimits { max_stall: Duration::from_millis(500), max_total: Duration::from_secs(2) };
+const LIMITS: ArrivalLimits = ArrivalLimits {
+    max_silence: Duration::from_millis(500),
+    max_stall: Duration::from_millis(500),
+    max_total: Duration::from_secs(2),
+};
 
 /// After how many tenths of a second, up to ten seconds, the connection may be evicted.
 async fn evictable_after_tenths(connection: &ClientConnection) -> Option<usize> {
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -22,6 +22,7 @@
 use woodgap::settings::RequestNames;
 use woodgap::{ClassId, Semantics, Settings, TenantId};
 
+pub use admission::LISTEN_BACKLOG;
 use admission::{Admission, URGENT_ARRIVAL_LIMITS};
 use request_ids::IdConflict;
 pub use request_ids::RequestIds;
--- a/src/bin/woodgap/clients/admission.rs
+++ b/src/bin/woodgap/clients/admission.rs
@@ -5,6 +5,7 @@
 //! socket that is held without a complete request is given up within `URGENT_ARRIVAL_LIMITS`. What is left of
 //! the wait is taken off the time of the request that waited.
 
+use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
@@ -15,7 +16,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use super::Clients;
-use crate::client_connection::{ArrivalLimits, REQUEST_READ_TIMEOUT};
+use crate::client_connection::{ArrivalLimits, ClientConnection};
 use crate::counts::Count;
 use crate::guards::SocketPermit;
 use crate::memory::{MemoryPermit, CLIENT_CONNECTION_BYTES};
@@ -24,26 +25,45 @@
 /// How long to wait for the socket of an evicted connection to close before trying again.
 const EVICTION_WAIT: Duration = Duration::from_millis(5);
 /// When the sockets for clients are used up, connections may be evicted whose request arrives more slowly.
-const ARRIVAL_LIMITS: ArrivalLimits =
-    ArrivalLimits { max_stall: Duration::from_millis(500), max_total: REQUEST_READ_TIMEOUT };
+const ARRIVAL_LIMITS: ArrivalLimits = ArrivalLimits {
+    max_silence: Duration::from_millis(500),
+    max_stall: Duration::from_millis(100),
+    max_total: Duration::from_millis(500),
+};
 /// The same when the sockets for refusals are used up too, so that no connection can be accepted. A client sends its
 /// request right after it connects, so that one that sent nothing for the shorter time has probably stopped. A response
 /// may be half a second late, so that the longer time leaves half of that.
-pub const URGENT_ARRIVAL_LIMITS: ArrivalLimits =
-    ArrivalLimits { max_stall: Duration::from_millis(50), max_total: Duration::from_millis(250) };
+pub const URGENT_ARRIVAL_LIMITS: ArrivalLimits = ArrivalLimits {
+    max_silence: Duration::from_millis(50),
+    max_stall: Duration::from_millis(50),
+    max_total: Duration::from_millis(250),
+};
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// Connections that the system keeps until the node accepts them. Of a connection that finds no room the system drops what
+/// the client sends first, which then comes late by a time that the node does not see.
+pub const LISTEN_BACKLOG: u32 = 1_024;
+
 /// The listener's backlog: connections that the system has set up for the node and the node has not accepted.
 struct Backlog {
     listener: TcpListener,
     /// When the connection that has waited for longest may have come; `None` if the backlog was empty at the last look.
     waiting_since: Option<Instant>,
+    /// When the last connections were accepted, the oldest first: as many as the backlog can hold.
+    accepted_at: VecDeque<Instant>,
 }
 
 impl Backlog {
+    /// The system lets one connection more wait than asked for.
+    const MAX_WAITING: usize = LISTEN_BACKLOG as usize + 1;
+
+    fn new(listener: TcpListener) -> Self {
+        Backlog { listener, waiting_since: None, accepted_at: VecDeque::with_capacity(Self::MAX_WAITING + 1) }
+    }
+
     /// Accepts the next connection. Returns with it since when it may have waited: it came after the last look at which
-    /// the backlog was empty.
+    /// the backlog was empty, and after the connection was accepted that stood a whole backlog before it.
     async fn accept(&mut self) -> (io::Result<TcpStream>, Instant) {
         let accepted = poll_fn(|cx| {
             let accepted = self.listener.poll_accept(cx);
@@ -54,7 +74,12 @@
         });
         // Only an empty backlog may be pending here, and not a task that has used up its share of the runtime.
         let accepted = unconstrained(accepted).await;
-        let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
+        let now = Instant::now();
+        let since_empty = *self.waiting_since.get_or_insert(now);
+        self.accepted_at.push_back(now);
+        let is_long = self.accepted_at.len() > Self::MAX_WAITING;
+        let backlog_before = if is_long { self.accepted_at.pop_front() } else { None };
+        let waiting_since = backlog_before.map_or(since_empty, |before| since_empty.max(before));
         (accepted.map(|(stream, _)| stream), waiting_since)
     }
 }
@@ -75,7 +100,7 @@
     /// is still in the listener's backlog counts as accepted.
     pub async fn accept_connections(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().close_overdue_connections());
-        let mut backlog = Backlog { listener, waiting_since: None };
+        let mut backlog = Backlog::new(listener);
         loop {
             let (accepted, waiting_since) = backlog.accept().await;
             match accepted {
@@ -164,7 +189,11 @@
         let scores = connections.values().map(|connection| (connection.eviction_score(limits), connection));
         let mut candidates: Vec<_> = scores.filter(|(score, _)| *score >= 1.0).collect();
         candidates.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
-        let evicted = candidates.into_iter().find(|(_, connection)| connection.can_close_without_loss());
+        // A head that waits for memory is refused, so that nothing unread is lost.
+        let can_evict = |connection: &ClientConnection| {
+            connection.is_waiting_for_memory() || connection.can_close_without_loss()
+        };
+        let evicted = candidates.into_iter().find(|(_, connection)| can_evict(connection));
         let is_evicted = evicted.inspect(|(_, connection)| connection.evict()).is_some();
         self.servers.counts.add(Count::Evicted, usize::from(is_evicted));
         is_evicted
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -27,13 +27,13 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 use tracing::{info, info_span, warn};
 
-use clients::{Clients, RequestIds};
+use clients::{Clients, RequestIds, LISTEN_BACKLOG};
 use driver::{Driver, DriverMessage};
 use guards::SocketBudget;
 use memory::{read_resident_bytes, MemoryBudget};
@@ -120,9 +120,13 @@
 
 /// Opens the socket on which clients connect.
 fn bind_listener(listen: SocketAddr) -> io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(listen)?;
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
+    let socket = match listen {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(listen)?;
+    socket.listen(LISTEN_BACKLOG)
 }
 
 fn read_file(path: &str) -> Result<String, Box<dyn Error>> {
