Take the wait for memory off the time of a request

A request whose body, or long head, waits for memory has arrived all the same: its client's time runs.

Now the wait is taken off, as the wait for a socket is.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -109,8 +109,8 @@
     requests: Cell<u32>,
     /// Signalled by `request_close`.
     pub close_requested: Notify,
-    /// How long the first request may have waited, complete, before the connection was read.
-    first_request_wait: Cell<Duration>,
+    /// How long the request may have waited, complete, before it was read.
+    unread_wait: Cell<Duration>,
     /// When the first request must have arrived completely.
     first_request_deadline: Instant,
     /// The open request has arrived completely: bytes that arrive now are not part of it.
@@ -165,7 +165,7 @@
             closes_at_once: Cell::new(false),
             requests: Cell::new(0),
             close_requested: Notify::new(),
-            first_request_wait: Cell::new(Duration::ZERO),
+            unread_wait: Cell::new(Duration::ZERO),
             first_request_deadline: now + first_request_timeout,
             is_request_complete: Cell::new(false),
             request_completed: Notify::new(),
@@ -185,7 +185,7 @@
         self.is_request_complete.set(false);
         if phase == Phase::Idle {
             self.framing.borrow_mut().finish_request();
-            self.first_request_wait.set(Duration::ZERO);
+            self.unread_wait.set(Duration::ZERO);
             self.body_memory.set(BodyMemory::Unreserved);
             self.arrival_memory.borrow_mut().head_permit = None;
         }
@@ -204,13 +204,18 @@
     pub fn record_wait(&self, waiting_since: Instant) {
         let wait = waiting_since.elapsed();
         if wait >= MIN_WAIT && self.has_unread_bytes() {
-            self.first_request_wait.set(wait);
+            self.unread_wait.set(wait);
         }
     }
 
-    /// How long the open request may have waited before it was read; not zero only for a connection's first request.
+    /// Notes that the request may have waited for memory for this long, although it had arrived.
+    pub fn add_wait(&self, wait: Duration) {
+        self.unread_wait.set(self.unread_wait.get() + wait);
+    }
+
+    /// How long the open request may have waited before it was read.
     pub fn take_wait(&self) -> Duration {
-        self.first_request_wait.take()
+        self.unread_wait.take()
     }
 
     /// Notes that the open request has arrived completely.
@@ -395,7 +400,8 @@
             memory.head_waits_since.get_or_insert_with(Instant::now);
             return Poll::Pending;
         };
-        memory.head_waits_since = None;
+        let waited = memory.head_waits_since.take().map_or(Duration::ZERO, |since| since.elapsed());
+        self.add_wait(waited);
         memory.head_permit = permit;
         drop(memory);
         self.last_byte_at.set(Instant::now());
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -433,7 +433,9 @@
             return Some(None);
         }
         connection.set_body_memory(BodyMemory::Waiting);
+        let waiting_since = Instant::now();
         let permit = timeout_at(deadline, self.memory.arriving.acquire(needed_bytes)).await;
+        connection.add_wait(waiting_since.elapsed());
         connection.set_body_memory(BodyMemory::Held);
         permit.ok().flatten().map(Some)
     }
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -261,3 +261,40 @@
 fn memory_stays_under_its_limit_with_clients_that_do_not_read() {
     check_crowds(&[Crowd::UnreadResponses, Crowd::Pipelined]);
 }
+
+/// A request with a largest body.
+fn long_request(id: &str, left_ms: u64) -> Vec<u8> {
+    let request = String::from_utf8(request_bytes("pay", id, left_ms)).unwrap();
+    let body = format!("Content-Length: {LARGEST_BODY_BYTES}\r\n\r\n{}", "b".repeat(LARGEST_BODY_BYTES));
+    request.replace("Content-Length: 5\r\n\r\nhello", &body).into_bytes()
+}
+
+// A server must not be told more time than the client has left, though the request waited for memory, unread.
+#[test]
+fn the_wait_for_memory_is_taken_off_the_time_of_a_request() {
+    let _running = run_alone();
+    let (left_ms, waited_ms) = (10_000, 150);
+    let harness = Harness::with_limits(1, json!({"sockets": 256, "memory_mb": 32}));
+    harness.set_behavior(Behavior::Hold);
+    // More long requests than there is memory for.
+    let clients: Vec<_> = (0..80)
+        .map(|n| {
+            let mut stream = harness.connect();
+            stream.write_all(&long_request(&n.to_string(), left_ms)).unwrap();
+            BufReader::new(stream)
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(waited_ms));
+    let sent_at_once = harness.take_requests().len();
+    harness.set_behavior(Behavior::Serve);
+    for mut client in clients {
+        let status = Message::read(&mut client).expect("a response").status();
+        assert!([200, 503].contains(&status), "{status}");
+    }
+    let sent_later = harness.take_requests();
+    assert!(sent_at_once > 0 && !sent_later.is_empty(), "{sent_at_once} at once, {} later", sent_later.len());
+    for (_, request) in sent_later {
+        let told_ms: u64 = request.header("x-remaining-ms").parse().unwrap();
+        assert!(told_ms <= left_ms - waited_ms, "told {told_ms} ms");
+    }
+}
