Add the soak: real nodes under drawn faults, with every answer, run and process checked

It prints a row for each seed.

Checked: a final answer in time; nothing sent on for a client that has gone; runs by effect, over repeats of an id too; whose answer it is; drains; the time told to servers; memory, descriptors, ends and readiness of each process. A hold-up of the stand-ins' own thread is recorded and excuses times in it, nothing else.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod process;
 pub mod relay;
 pub mod site;
+pub mod soak;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,24 +1,26 @@
-//! The program `rig`: `rig site` demonstrates a deployment with faults, `rig capacity` measures what each role costs.
+//! The program `rig`: `rig site` demonstrates a deployment with faults, `rig capacity` measures what each role costs, `rig
+//! soak` looks for violations of the rules under drawn faults.
 //!
 //! `rig site` runs three replicas, agents, nodes, fake servers and a load generator on loopback. One node is a
 //! straggler and the leader is killed. The audit's verdicts are printed as they are made, and the guarantees are
 //! checked at the end.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use anyhow::{ensure, Context};
+use clap::Parser;
+use rig::binaries::Binaries;
 use rig::checker::{find_violations, RunRecord};
 use rig::site::{audit_config, Site, SiteConfig};
+use rig::soak::plan::Plan;
+use rig::soak::{run_plan, Report};
 use serde_json::Value;
 use tokio::time::{sleep, Instant};
 
-const USAGE: &str =
-    "rig site [--seed N]   demonstrates a deployment with faults, in at most a minute once it is built\n\
-    rig capacity          measures what each role costs by size, for docs/CAPACITY.md; takes some minutes\n\n\
-    Exit codes: 0 all guarantees were kept, 1 a guarantee was violated or a process failed, 2 wrong usage";
-const USAGE_EXIT_CODE: u8 = 2;
 /// Time limit of the demonstration, from the start of the first process.
 const DEMO_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long after its start the demonstration restarts the killed leader, once there is a new one.
@@ -28,21 +30,64 @@
 /// Index of the straggler: a node that ignores every list after its first.
 const STUCK_NODE: usize = 4;
 
+/// Runs several processes of fircroft on loopback, with faults. Exit codes: 0 all guarantees were kept, 1 a guarantee was
+/// violated or a process failed, 2 wrong usage.
+#[derive(Parser)]
+enum Command {
+    /// Demonstrates a deployment with faults, in at most a minute once it is built.
+    Site {
+        /// Draws the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Measures what each role costs by size, for docs/CAPACITY.md; takes some minutes.
+    Capacity,
+    /// Runs nodes under drawn faults and checks every answer, run and process; prints a table.
+    Soak {
+        /// Draws the first run; each further run has the next seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Number of runs.
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+        /// Length of the load of each run, in seconds.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// The node's program, instead of one that is built from this workspace.
+        #[arg(long)]
+        node: Option<PathBuf>,
+    },
+}
+
 fn main() -> ExitCode {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let seed = match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        ["site"] => Some(1),
-        ["site", "--seed", seed] => seed.parse().ok(),
-        ["capacity"] => {
-            return report_result(rig::site::run_scenario(rig::capacity::measure));
+    let result = match Command::parse() {
+        Command::Site { seed } => rig::site::run_scenario(|| run_interruptible_demo(seed)),
+        Command::Capacity => rig::site::run_scenario(rig::capacity::measure),
+        Command::Soak { seed, runs, seconds, node } => {
+            run_soak(seed..seed + runs, Duration::from_secs(seconds), node)
         }
-        _ => None,
     };
-    let Some(seed) = seed else {
-        eprintln!("{USAGE}");
-        return ExitCode::from(USAGE_EXIT_CODE);
-    };
-    report_result(rig::site::run_scenario(|| run_interruptible_demo(seed)))
+    report_result(result)
+}
+
+/// Runs the soak once for each seed and prints the table, and the violations behind it.
+fn run_soak(seeds: Range<u64>, duration: Duration, node: Option<PathBuf>) -> anyhow::Result<()> {
+    let node = node.map_or_else(|| Ok(Binaries::build()?.node), anyhow::Ok)?;
+    let mut violations = Vec::new();
+    println!("{}", Report::HEAD);
+    for seed in seeds {
+        rig::site::run_scenario(|| async {
+            let report = run_plan(Plan::draw(seed, duration), &node).await?;
+            println!("{report}");
+            violations.extend(report.violations.into_iter().map(|violation| (seed, violation)));
+            Ok(())
+        })?;
+    }
+    for (seed, violation) in &violations {
+        eprintln!("seed {seed}: {violation}");
+    }
+    ensure!(violations.is_empty(), "{} violations", violations.len());
+    Ok(())
 }
 
 fn report_result(result: anyhow::Result<()>) -> ExitCode {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -161,6 +161,25 @@
         Ok(Usage { cpu_s: ticks / CPU_TICKS_PER_S, resident_mb: kb / 1024.0 })
     }
 
+    /// Returns the peak of the process's resident memory in kB, and its number of open descriptors.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has exited.
+    pub fn peak_usage(&self) -> anyhow::Result<(u64, usize)> {
+        let pid = self.pid()?;
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).context("no VmHWM")?;
+        let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd"))?.count();
+        Ok((peak.trim().trim_end_matches(" kB").trim().parse()?, descriptors))
+    }
+
+    /// Describes how the process has failed; `None` while it runs and if it exited with success.
+    pub fn exit_failure(&mut self) -> Option<String> {
+        let status = self.child.try_wait().ok().flatten()?;
+        (!status.success()).then(|| status.to_string())
+    }
+
     /// Whether the process has not exited.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
