--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -8,7 +8,8 @@
 
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::sync::{Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -298,3 +299,91 @@
         assert!(told_ms <= left_ms - waited_ms, "told {told_ms} ms");
     }
 }
+
+// A whole list of a thousand servers comes again and again, while long requests and responses press on the node.
+#[test]
+fn memory_stays_under_its_limit_while_long_lists_are_replaced() {
+    let _running = run_alone();
+    let push = |settings: &mut serde_json::Value| settings["registry-mode"] = json!("push");
+    let harness = Harness::with_settings(4, json!({"sockets": 1_024, "memory_mb": 32}), push);
+    harness.set_behavior(Behavior::RespondRaw(long_response(), 1));
+    let (_, mut watch) = harness.next_watch();
+    let members = harness.members.clone();
+    let start = Instant::now();
+    let lists = std::thread::spawn(move || {
+        for revision in 100.. {
+            let others = (0..1_000).map(|n| {
+                json!({"id": format!("s-{revision}-{n}"), "host_port": "127.0.0.1:9", "locality": "a", "flavor": "f",
+                    "cell": n, "phase": "terminating", "size": 1.0, "up_since_ms": 0})
+            });
+            let members: Vec<_> = members.iter().cloned().chain(others).collect();
+            let list = json!({"revision": revision, "complete": true, "members": members});
+            write_chunk(&mut watch, &format!("{list}\n"));
+            if start.elapsed() > PRESSURE_TIME {
+                return revision - 100;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        0
+    });
+    press(&harness, Crowd::UnreadResponses, 900, PRESSURE_TIME);
+    let lists = lists.join().unwrap();
+    check_peak(&harness, &format!("{lists} lists"), 32);
+    assert!(lists > 10);
+}
+
+// One client sends small and unsound requests under ever new names as fast as it can. Others have their responses soon, and
+// what the node holds stops growing.
+#[test]
+fn a_flooding_client_neither_delays_others_nor_grows_memory() {
+    let _running = run_alone();
+    let harness = Harness::with_limits(2, json!({"sockets": 256, "memory_mb": 32}));
+    let flooding = Arc::new(AtomicBool::new(true));
+    let (is_on, addr) = (flooding.clone(), harness.addr);
+    let flood = std::thread::spawn(move || {
+        let mut sent = 0;
+        while is_on.load(Ordering::Relaxed) {
+            let Ok(mut stream) = TcpStream::connect(addr) else { continue };
+            stream.set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+            let mut responses = stream.try_clone().unwrap();
+            let reader = std::thread::spawn(move || std::io::copy(&mut responses, &mut std::io::sink()));
+            while is_on.load(Ordering::Relaxed) {
+                let requests: Vec<u8> = (0..50)
+                    .flat_map(|n| {
+                        let id = format!("flood{}", sent + n);
+                        match n {
+                            49 if sent % 5_000 == 0 => b"POST /none HTTP/9\r\n\r\n".to_vec(),
+                            n if n % 2 == 0 => request_bytes_with_key(&id, "look", &id, 60_000),
+                            _ => b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(),
+                        }
+                    })
+                    .collect();
+                sent += 50;
+                if stream.write_all(&requests).is_err() {
+                    break;
+                }
+            }
+            drop(stream);
+            let _ = reader.join();
+        }
+        sent
+    });
+    let mut slowest = Duration::ZERO;
+    let mut peaks_kb = Vec::new();
+    for n in 0..300 {
+        let sent_at = Instant::now();
+        assert_eq!(send_usual_request(addr, &format!("usual{n}")), Some(200));
+        slowest = slowest.max(sent_at.elapsed());
+        peaks_kb.push(read_peak_memory_kb(&harness));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    flooding.store(false, Ordering::Relaxed);
+    let sent = flood.join().unwrap();
+    let (early_kb, late_kb) = (peaks_kb[100], peaks_kb[299]);
+    eprintln!(
+        "{sent} requests of a flood, slowest of the others {slowest:?}, peak {early_kb} and {late_kb} kB"
+    );
+    assert!(sent > 1_000 && slowest < Duration::from_millis(500), "{slowest:?}");
+    // Two thirds of the time must not bring a further tenth.
+    assert!(late_kb < early_kb + early_kb / 10, "{early_kb} kB, later {late_kb} kB");
+}
--- a/tests/node/disconnects.rs
+++ b/tests/node/disconnects.rs
@@ -147,3 +147,35 @@
     assert_eq!(harness.send_request("pay", "2").status(), 200);
     assert_eq!(harness.take_requests().len(), 1);
 }
+
+// A client that closes its connection with many requests still unread has gone: none of them is sent on, neither from the
+// node's buffers nor from the system's.
+#[test]
+fn requests_behind_a_close_are_not_sent() {
+    for requests in [2, 20, 2_000] {
+        let harness = Harness::new(1);
+        harness.set_behavior(Behavior::Hold);
+        let mut client = harness.connect();
+        let pipelined: Vec<u8> =
+            (0..requests).flat_map(|n| request_bytes("pay", &format!("{requests}-{n}"), 60_000)).collect();
+        client.set_write_timeout(Some(std::time::Duration::from_millis(200))).unwrap();
+        let _ = client.write_all(&pipelined);
+        let mut seen = Vec::new();
+        wait_until("the first one is sent", || {
+            seen.extend(harness.take_requests());
+            !seen.is_empty()
+        });
+        drop(client);
+        wait_until("the close is noticed", || {
+            harness.send_request("pay", &format!("{requests}-0")).status() == 409
+        });
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        harness.set_behavior(Behavior::Serve);
+        // It is served behind whatever was left of the others.
+        assert_eq!(harness.send_request("pay", &fresh_id()).status(), 200);
+        seen.extend(harness.take_requests());
+        let sent_on =
+            seen.iter().filter(|(_, request)| request.header("x-txn").starts_with(&format!("{requests}-")));
+        assert_eq!(sent_on.count(), 1, "of {requests}");
+    }
+}
