Read what has arrived before a watch counts as silent

After a hold-up of the process a silent watch's time-out and the list that ended the silence are there at the same moment.

Now the time-out is followed by 20 ms in which what has arrived still counts. Test: a_list_that_arrived_during_a_hold_up_is_not_dropped_with_its_watch; before, it failed after its 30 s.

--- a/src/bin/woodgap/discovery/watch_loop.rs
+++ b/src/bin/woodgap/discovery/watch_loop.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::error::Elapsed;
 use tokio::time::{sleep_until, timeout, Instant};
 use woodgap::list::ServerList;
 
@@ -24,6 +25,8 @@
 /// A watch that receives nothing for this long is broken. The protocol has discovery send at least an empty line
 /// every 2 s; half a second is added for delays.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long what has arrived may take to be read after a hold-up of the process.
+const UNREAD_GRACE: Duration = Duration::from_millis(20);
 /// The longest time that a try at an agent may wait for its first line. The oldest try is kept that long, so that
 /// a slow agent that answers the tries in order reaches one before it is dropped.
 const AGENT_TRY_TIMEOUT: Duration = Duration::from_millis(3_500);
@@ -79,7 +82,7 @@
         revision = first.revision.unwrap_or(revision);
         on_list(first);
         let reason = loop {
-            match timeout(SILENCE_TIMEOUT, watch.next()).await {
+            match next_before_silence(&mut watch).await {
                 Ok(Ok(Some(list))) => {
                     revision = list.revision.unwrap_or(revision);
                     on_list(list);
@@ -103,6 +106,17 @@
     }
 }
 
+/// The next item of a watch, or an error if it is silent. If the process was held up, an item may have arrived that is not
+/// read yet when the time is over; it counts.
+async fn next_before_silence<F: WatchStream>(
+    watch: &mut F,
+) -> Result<Result<Option<ServerList>, WatchError>, Elapsed> {
+    match timeout(SILENCE_TIMEOUT, watch.next()).await {
+        Ok(item) => Ok(item),
+        Err(_) => timeout(UNREAD_GRACE, watch.next()).await,
+    }
+}
+
 /// Decides when the next try may start.
 struct TryPacer {
     kind: EndpointKind,
--- a/tests/node/list.rs
+++ b/tests/node/list.rs
@@ -117,3 +117,21 @@
     harness.send_signal("-HUP");
     assert!(harness.node.wait().unwrap().success());
 }
+
+// A process that was held up finds a silent watch and the list that ended the silence at the same moment. The list counts as
+// told, and while discovery is down no new watch would tell it again.
+#[test]
+fn a_list_that_arrived_during_a_hold_up_is_not_dropped_with_its_watch() {
+    let harness = Harness::with_settings(2, json!({"sockets": 256}), |settings| {
+        settings["registry-mode"] = json!("push")
+    });
+    let mut stream = harness.next_watch_from(41);
+    write_chunk(&mut stream, "\n");
+    wait_until("the watch is open", || harness.send_request("pay", &fresh_id()).status() == 200);
+    harness.while_stopped(|| {
+        // Longer than a watch may be silent.
+        std::thread::sleep(std::time::Duration::from_millis(2_700));
+        write_chunk(&mut stream, &format!("{}\n", list_without_first_server(&harness, 90)));
+    });
+    wait_until_only_used(&harness, &[1]);
+}
