--- a/crates/rig/src/soak/node.rs
+++ b/crates/rig/src/soak/node.rs
@@ -27,6 +27,7 @@
 const MAX_DEADLINE_BEFORE_KILL: Duration = Duration::from_secs(3);
 /// How long a process is held up by a pause.
 const PAUSE: Duration = Duration::from_millis(150);
+const BETWEEN_PAUSES: Duration = Duration::from_millis(500);
 /// How long discovery is down.
 const OUTAGE: Duration = Duration::from_secs(2);
 /// How far the wall clock is stepped, in turn.
@@ -129,6 +130,8 @@
                     node.process.signal(Signal::SIGSTOP)?;
                     sleep(PAUSE).await;
                     node.process.signal(Signal::SIGCONT)?;
+                    // Two pauses must not make a longer one.
+                    node.watch_until(Instant::now() + BETWEEN_PAUSES).await;
                 }
                 Disturbance::DiscoveryOutage => {
                     self.agent.is_silent.set(true);
