--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -331,8 +331,8 @@
         }
     }
 
-    /// Makes the connection give up its socket, for a connection with an eviction score of at least 1. An open
-    /// request, whose head was read, is refused; any other connection is closed without a response.
+    /// Makes the connection give up its socket and its memory, for a connection with an eviction score of at least 1. A
+    /// request of which anything has arrived is refused; any other connection is closed without a response.
     pub fn evict(&self) {
         match self.phase.get() {
             Phase::RequestOpen => {
@@ -347,8 +347,8 @@
         }
     }
 
-    /// Refuses a request of whose head a part has arrived. Only what the client has not sent yet can be lost then, and
-    /// no server has seen the request.
+    /// Refuses a request of whose head a part has arrived, unless an earlier response is still being written. No server
+    /// has seen the request.
     fn refuse_head(&self) {
         let has_head_begun =
             self.phase.get() == Phase::ReadingHead || self.framing.borrow().has_received_bytes();
