--- a/src/bin/woodgap/system_errors.rs
+++ b/src/bin/woodgap/system_errors.rs
@@ -3,17 +3,9 @@
 use std::io;
 use std::time::Duration;
 
-/// Linux's error numbers for a call that found no descriptor, memory, port or route on this machine.
-const EAGAIN: i32 = 11;
-const ENOMEM: i32 = 12;
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-const EADDRNOTAVAIL: i32 = 99;
-const ENETDOWN: i32 = 100;
-const ENETUNREACH: i32 = 101;
-const ENOBUFS: i32 = 105;
+use libc::{EADDRNOTAVAIL, EAGAIN, EMFILE, ENETDOWN, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM};
 
-/// How long a process that starts retries a call that failed.
+/// How often and at which interval a process that starts repeats a call that failed.
 const START_RETRIES: u32 = 100;
 const START_RETRY_DELAY: Duration = Duration::from_millis(20);
 
--- a/src/bin/woodgap/system_errors/tests.rs
+++ b/src/bin/woodgap/system_errors/tests.rs
@@ -1,12 +1,12 @@
 use super::*;
+use libc::{ECONNABORTED, ECONNREFUSED, ECONNRESET, EHOSTUNREACH, ETIMEDOUT};
 
 #[test]
 fn errors_of_this_machine_are_told_from_those_of_the_other_end() {
     for number in [EAGAIN, ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENETDOWN, ENETUNREACH, ENOBUFS] {
         assert!(is_local(&io::Error::from_raw_os_error(number)), "{number}");
     }
-    let (econnaborted, econnreset, etimedout, econnrefused, ehostunreach) = (103, 104, 110, 111, 113);
-    for number in [econnaborted, econnreset, etimedout, econnrefused, ehostunreach] {
+    for number in [ECONNABORTED, ECONNRESET, ETIMEDOUT, ECONNREFUSED, EHOSTUNREACH] {
         let error = io::Error::from_raw_os_error(number);
         assert!(!is_local(&error) && !is_shortage(&error), "{number}");
     }
