--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -22,6 +22,7 @@
 use std::fmt;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -140,7 +141,9 @@
         list.put(entry(&server, "in_service", 0));
         servers.push(server);
     }
+    static RUNS: AtomicU8 = AtomicU8::new(0);
     let setup = NodeSetup {
+        run: RUNS.fetch_add(1, Ordering::Relaxed),
         plan: &plan,
         executable,
         dir: dir.path(),
--- a/crates/rig/src/soak/node.rs
+++ b/crates/rig/src/soak/node.rs
@@ -1,6 +1,6 @@
 //! The processes of one node: started, disturbed, sampled and recorded.
 
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -57,6 +57,8 @@
 
 /// What a run gives to each of its nodes.
 pub struct NodeSetup<'a> {
+    /// The number of the run in this process.
+    pub run: u8,
     /// The plan of the run.
     pub plan: &'a Plan,
     /// The program.
@@ -83,9 +85,11 @@
     /// Fails if the system provides no address or file.
     pub async fn new(number: usize, setup: &NodeSetup<'_>) -> anyhow::Result<NodeHost> {
         let plan = setup.plan;
-        // An address of its own: no connection that others open can take the port between two processes.
+        // An address of its own: no connection that others open, and no node of another run, can take the port between
+        // two processes of the node.
         let network = 16 + (std::process::id() % 100) as u8;
-        let probe = TcpListener::bind((std::net::Ipv4Addr::new(127, network, number as u8, 1), 0))?;
+        let ip = Ipv4Addr::new(127, network, setup.run, 1 + number as u8);
+        let probe = TcpListener::bind((ip, 0))?;
         let addr = probe.local_addr()?;
         let agent = Agent::start(number, setup.list.clone(), setup.recorder.clone()).await?;
         let config = json!({
