--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -22,8 +22,6 @@
 const LARGEST_BODY_BYTES: usize = 64 * 1024;
 /// How long a crowd of clients presses on a node.
 const PRESSURE_TIME: Duration = Duration::from_millis(3_500);
-/// How long a client whose connection was closed waits before it comes again.
-const RETURN_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two writes of a client that writes slowly.
 const SLOW_WRITE_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -132,9 +130,8 @@
 /// clients send requests; returns how many of them were served, and how many there were.
 fn press(harness: &Harness, crowd: Crowd, clients: usize, duration: Duration) -> (usize, usize) {
     let reads = crowd != Crowd::UnreadResponses && crowd != Crowd::Pipelined;
+    let mut crowd_clients: Vec<Option<CrowdClient>> = (0..clients).map(|_| None).collect();
     let (start, mut next_id) = (Instant::now(), 0);
-    // Each client, or when it comes again.
-    let mut crowd_clients: Vec<Result<CrowdClient, Instant>> = (0..clients).map(|_| Err(start)).collect();
     let addr = harness.addr;
     let usual = std::thread::spawn(move || {
         let (mut served, mut sent) = (0, 0);
@@ -147,19 +144,15 @@
     });
     while start.elapsed() < duration {
         for client in &mut crowd_clients {
-            match client {
-                Ok(open) => {
-                    let end = open.written + 3;
-                    if !open.write_up_to(end) || open.is_closed(reads) {
-                        *client = Err(Instant::now() + RETURN_PAUSE);
-                    }
-                }
-                Err(returns_at) if *returns_at <= Instant::now() => {
-                    next_id += 1;
-                    let connected = CrowdClient::connect(harness, crowd, &format!("c{next_id}"));
-                    *client = connected.ok_or(Instant::now() + RETURN_PAUSE);
+            if client.is_none() {
+                next_id += 1;
+                *client = CrowdClient::connect(harness, crowd, &format!("c{next_id}"));
+            }
+            if let Some(open) = client {
+                let end = open.written + 3;
+                if !open.write_up_to(end) || open.is_closed(reads) {
+                    *client = None;
                 }
-                Err(_) => {}
             }
         }
         std::thread::sleep(SLOW_WRITE_INTERVAL);
