Count only accepted connections for the bound of a wait, and pause on accept errors that last

Found on rereading: a failed accept took a place in the list of accepted connections, so with failing calls the bound on a new connection's wait came out too short.

The memory of a request needs no nested options any more, and memory.rs says aim where margins are part of it.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -300,8 +300,8 @@
         let _ = timeout(longest + IDLE_CLOSE_DELAY, all_closed).await;
     }
 
-    /// Answers the only request of a connection beyond the budget. It is served if it needs little memory and is there,
-    /// so that clients which hold all other sockets don't keep usual ones out; else it is refused.
+    /// Answers the only request of a connection beyond the budget. A small request is served, so that clients which hold
+    /// all other connections don't keep usual ones out; any other is refused.
     async fn handle_over_budget(
         &self,
         request: Request<Incoming>,
@@ -382,8 +382,9 @@
         let deadline = Instant::now() + head.time_left.saturating_sub(spent);
         let deadline = self.drain_deadline.get().map_or(deadline, |drain| deadline.min(drain));
         let id = self.next_request_id.replace(self.next_request_id.get() + 1);
-        let memory = [Some(open_memory), body_memory];
-        let outgoing = OutgoingRequest::new(head.method, head.target, head.headers, body).hold_memory(memory);
+        let memory = [open_memory, body_memory];
+        let outgoing =
+            OutgoingRequest::new(head.method, head.target, head.headers, body).hold_memory(memory.into());
         let outgoing = Rc::new(outgoing.for_client(connection));
         // Servers tell requests apart by their X-Txn. A second request with the X-Txn of an open one could
         // run an effect twice, or get the response to the other.
@@ -428,16 +429,16 @@
         connection: &ClientConnection,
         needed_bytes: usize,
         deadline: Instant,
-    ) -> Option<Option<MemoryPermit>> {
+    ) -> Option<MemoryPermit> {
         if needed_bytes == 0 {
-            return Some(None);
+            return self.memory.arriving.try_acquire(0);
         }
         connection.set_body_memory(BodyMemory::Waiting);
         let waiting_since = Instant::now();
-        let permit = timeout_at(deadline, self.memory.arriving.acquire(needed_bytes)).await;
+        let permit = timeout_at(deadline, self.memory.arriving.acquire(needed_bytes)).await.ok().flatten();
         connection.add_wait(waiting_since.elapsed());
-        connection.set_body_memory(BodyMemory::Held);
-        permit.ok().flatten().map(Some)
+        connection.set_body_memory(if permit.is_some() { BodyMemory::Held } else { BodyMemory::Unreserved });
+        permit
     }
 
     /// Reads the body of a request.
--- a/src/bin/woodgap/clients/admission.rs
+++ b/src/bin/woodgap/clients/admission.rs
@@ -76,7 +76,10 @@
         let accepted = unconstrained(accepted).await;
         let now = Instant::now();
         let since_empty = *self.waiting_since.get_or_insert(now);
-        self.accepted_at.push_back(now);
+        // A failed call has taken no connection off the backlog.
+        if accepted.is_ok() {
+            self.accepted_at.push_back(now);
+        }
         let is_long = self.accepted_at.len() > Self::MAX_WAITING;
         let backlog_before = if is_long { self.accepted_at.pop_front() } else { None };
         let waiting_since = backlog_before.map_or(since_empty, |before| since_empty.max(before));
@@ -101,8 +104,10 @@
     pub async fn accept_connections(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().close_overdue_connections());
         let mut backlog = Backlog::new(listener);
+        let mut has_failed = false;
         loop {
             let (accepted, waiting_since) = backlog.accept().await;
+            let has_failed_before = std::mem::replace(&mut has_failed, accepted.is_err());
             match accepted {
                 Ok(stream) => {
                     let _ = stream.set_nodelay(true);
@@ -116,15 +121,14 @@
                     // backlog. Without a pause this loop would take the CPU time that closing other sockets
                     // needs.
                     tracing::warn!(%error, "accept failed");
-                    if !is_shortage(&error) {
-                        // It concerns the connection that was to be accepted.
-                        tokio::task::yield_now().await;
-                        continue;
-                    }
-                    if !self.servers.evict_idle() {
+                    let is_shortage = is_shortage(&error);
+                    if is_shortage && !self.servers.evict_idle() {
                         self.evict_connection(&URGENT_ARRIVAL_LIMITS);
                     }
-                    sleep(ACCEPT_RETRY_DELAY).await;
+                    // Another error concerns the connection that was to be accepted, unless it comes again.
+                    if is_shortage || has_failed_before {
+                        sleep(ACCEPT_RETRY_DELAY).await;
+                    }
                 }
             }
         }
--- a/src/bin/woodgap/exchange.rs
+++ b/src/bin/woodgap/exchange.rs
@@ -64,7 +64,7 @@
     /// The connection of the client that waits for the response; `None` for a probe.
     client: Option<Weak<ClientConnection>>,
     /// The memory that the request takes from the budget until its last attempt has ended.
-    _memory: [Option<MemoryPermit>; 2],
+    _memory: Vec<MemoryPermit>,
 }
 
 impl OutgoingRequest {
@@ -78,7 +78,7 @@
             is_finished: Cell::new(false),
             was_sent: Cell::new(false),
             client: None,
-            _memory: [None, None],
+            _memory: Vec::new(),
         }
     }
 
@@ -98,7 +98,7 @@
     }
 
     /// Ties memory of the budget to the request.
-    pub fn hold_memory(mut self, memory: [Option<MemoryPermit>; 2]) -> Self {
+    pub fn hold_memory(mut self, memory: Vec<MemoryPermit>) -> Self {
         self._memory = memory;
         self
     }
--- a/src/bin/woodgap/memory.rs
+++ b/src/bin/woodgap/memory.rs
@@ -1,7 +1,7 @@
 //! The budget of bytes that the process may hold, derived from `memory_mb`.
 //!
-//! Guarantee: whatever clients and servers send, the resident set stays under [`MAX_RESIDENT_FRACTION`] of the limit.
-//! Everything that grows with traffic takes its bytes from the budget before it is filled, in one of four shares, so
+//! Aim: whatever clients and servers send, the resident set stays under [`MAX_RESIDENT_FRACTION`] of the limit. What the
+//! allocator keeps, and lists and tables, are covered by margins; everything else that grows with traffic takes its bytes from the budget before it is filled, in one of four shares, so
 //! that none of them can take the memory that another needs to make progress:
 //!
 //! - connections: the buffers and the state of a client connection, and of an idle connection to a server;
