Soak: a kill lasts from its signal until the process is gone

Both times are recorded now. What is open between them is for its client to repeat, as before, and the slack after the close is gone: a kill must have been sent before the request ended. A test has a close before the signal and one after the end.

--- a/crates/rig/src/soak/checker.rs
+++ b/crates/rig/src/soak/checker.rs
@@ -98,7 +98,7 @@
             && process.end == ProcessEnd::Killed
             && process.started_us <= request.written_us
             && process.ended_us + MEASUREMENT_SLACK_US >= request.written_us
-            && process.ended_us <= request.ended_us + MEASUREMENT_SLACK_US
+            && process.killed_us <= request.ended_us
     })
 }
 
--- a/crates/rig/src/soak/checker/tests.rs
+++ b/crates/rig/src/soak/checker/tests.rs
@@ -28,6 +28,7 @@
         started_us: 0,
         ready_after_us: SECOND_US,
         term_us: None,
+        killed_us: 9 * SECOND_US,
         ended_us: 9 * SECOND_US,
         end,
         peak_kb: 20_000,
@@ -56,7 +57,11 @@
     }
     // Its node was killed, or the close crossed it.
     let closed = request(Effect::Unsafe, RequestEnd::Closed);
-    let killed = || ProcessRecord { ended_us: 5 * SECOND_US + 50_000, ..process(ProcessEnd::Killed) };
+    let killed = || ProcessRecord {
+        killed_us: 5 * SECOND_US - 60_000,
+        ended_us: 5 * SECOND_US + 50_000,
+        ..process(ProcessEnd::Killed)
+    };
     assert!(rules(vec![closed.clone()], vec![sent], killed()).is_empty());
     let crossed = RequestRecord { is_first: false, ..closed };
     assert!(rules(vec![crossed.clone()], vec![], process(ProcessEnd::Terminated)).is_empty());
@@ -73,6 +78,16 @@
     assert!(rules(vec![left], attempts, killed()).is_empty());
 }
 
+// A kill excuses what was open between the signal and the end of the process, and nothing before or after.
+#[test]
+fn a_kill_excuses_only_what_was_open_then() {
+    let closed = request(Effect::Unsafe, RequestEnd::Closed);
+    for (killed_us, ended_us) in [(6 * SECOND_US, 6 * SECOND_US), (4 * SECOND_US, 4 * SECOND_US + 100_000)] {
+        let killed = ProcessRecord { killed_us, ended_us, ..process(ProcessEnd::Killed) };
+        assert_eq!(rules(vec![closed.clone()], vec![], killed), [Rule::Lost]);
+    }
+}
+
 #[test]
 fn each_broken_rule_of_a_request_is_found() {
     let sent = || attempt(5 * SECOND_US + 10_000, true);
--- a/crates/rig/src/soak/node.rs
+++ b/crates/rig/src/soak/node.rs
@@ -174,6 +174,7 @@
             started_us,
             ready_after_us: self.recorder.now_us() - started_us,
             term_us: None,
+            killed_us: 0,
             ended_us: 0,
             end: ProcessEnd::Killed,
             peak_kb: 0,
@@ -204,20 +205,23 @@
     /// Kills the process, if it runs, and records it.
     async fn finish(&self, mut node: RunningNode, end: ProcessEnd) -> anyhow::Result<()> {
         node.sample();
-        node.record.ended_us = self.recorder.now_us();
         node.record.end = end;
         let failed = node.process.exit_failure().filter(|_| node.record.term_us.is_some());
         if let Some(failure) = failed {
             node.record.end = ProcessEnd::ByItself(failure);
         }
+        node.record.killed_us = self.recorder.now_us();
+        node.process.kill().await?;
+        node.record.ended_us = self.recorder.now_us();
         self.recorder.add_process(node.record);
-        node.process.kill().await
+        Ok(())
     }
 
     /// Records a process that ended by itself.
     fn finish_ended(&self, mut node: RunningNode) -> anyhow::Result<()> {
         self.state.set_accepting(false);
-        node.record.ended_us = self.recorder.now_us();
+        node.record.killed_us = self.recorder.now_us();
+        node.record.ended_us = node.record.killed_us;
         let status = node.process.exit_failure().unwrap_or_else(|| "success".to_owned());
         node.record.end = ProcessEnd::ByItself(format!("{status}: {}", node.process.log()));
         self.recorder.add_process(node.record);
--- a/crates/rig/src/soak/record.rs
+++ b/crates/rig/src/soak/record.rs
@@ -100,7 +100,9 @@
     pub ready_after_us: u64,
     /// When it was told to end, if it was.
     pub term_us: Option<u64>,
-    /// When it ended.
+    /// When it was killed, or was seen to have ended by itself.
+    pub killed_us: u64,
+    /// When it was gone. A killed process closes its connections some time after the signal.
     pub ended_us: u64,
     /// How it ended.
     pub end: ProcessEnd,
