--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -2,6 +2,7 @@
 and small stand-ins for clients, app servers and discovery. Every address is a loopback address."""
 
 import asyncio
+import ctypes
 import json
 import os
 import shutil
@@ -18,15 +19,23 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
+PR_SET_PDEATHSIG = 1
+
+
 class CouldNotRun(Exception):
     pass
 
 
+def end_with_the_script():
+    """Runs in a new process: it is killed if the script is."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Case:
     """Writes `record.txt`, holds the temporary folder and ends all processes at the end."""
 
     def __init__(self, folder):
-        self.record_file = open(os.path.join(folder, "record.txt"), "w")
+        self.record_file = open(os.path.join(folder, "record.txt"), "w", buffering=1)
         self.temp = tempfile.mkdtemp(prefix="review2-")
         self.start = time.monotonic()
         self.processes = []
@@ -43,7 +52,8 @@
         base = {"PATH": os.environ.get("PATH", ""), "TMPDIR": self.temp, "HOME": self.temp}
         base.update(env or {})
         process = subprocess.Popen(["/bin/sh", "-c", command] if shell else command, cwd=ROOT, env=base,
-                                   stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT)
+                                   stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT,
+                                   preexec_fn=end_with_the_script)
         process.log_path = log.name
         log.close()
         self.processes.append(process)
@@ -71,8 +81,14 @@
     """Runs the coroutine `main(case)`, which returns HELD or BROKEN, and ends with its exit code."""
     async def guarded():
         case = Case(folder)
+        task = asyncio.ensure_future(asyncio.wait_for(main(case), limit))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            code = await asyncio.wait_for(main(case), limit)
+            code = await task
+        except asyncio.CancelledError:
+            case.note("case", "ended by a signal")
+            code = COULD_NOT_RUN
         except CouldNotRun as error:
             case.note("case", f"could not run: {error}")
             print(f"could not run: {error}")
