Fail a response that is followed by bytes of no further response

Cause: a response counted as complete at its length. The bytes behind it were looked at only for the reuse of the connection, when the response had been passed on already.

Change: behind each response the node looks at what hyper has read beyond it and at the receive buffer. The count response_too_long tells how often. A socket's permit is held by the socket now, not by hyper's task, which ends when such bytes arrive.

--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -55,6 +55,8 @@
     /// Idle connections that were found unusable: their server had closed them or had sent bytes that no request
     /// asked for, or they had become too old by the time they were to be used.
     IdleBroken,
+    /// Responses that were not used because bytes followed that begin no further response.
+    ResponseTooLong,
     /// Probes that were started.
     Probes,
     /// Client connections that were accepted.
@@ -74,7 +76,7 @@
 }
 
 /// Every count with its name in the log, in the order of [`Count`].
-const COUNTS: [(Count, &str); 33] = [
+const COUNTS: [(Count, &str); 34] = [
     (Count::Requests, "requests"),
     (Count::Served, "served"),
     (Count::RefusedUntried, "refused_untried"),
@@ -101,6 +103,7 @@
     (Count::IdleFreed, "idle_freed"),
     (Count::IdleEvicted, "idle_evicted"),
     (Count::IdleBroken, "idle_broken"),
+    (Count::ResponseTooLong, "response_too_long"),
     (Count::Probes, "probes"),
     (Count::Accepted, "accepted"),
     (Count::AcceptedOverBudget, "accepted_over_budget"),
--- a/src/bin/woodgap/exchange.rs
+++ b/src/bin/woodgap/exchange.rs
@@ -1,14 +1,14 @@
 //! An HTTP/1.1 connection to a server: sends one request at a time, reads the whole response and classifies
 //! it.
 
+mod socket;
+mod surplus;
+
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -18,9 +18,8 @@
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::{timeout, Instant};
 use woodgap::Outcome;
 
@@ -28,7 +27,8 @@
 use crate::guards::{AbortOnDrop, SocketPermit};
 use crate::memory::{hold_permit, MemoryPermit, MemoryShare, UNRESERVED_BODY_BYTES};
 use crate::revision_reporter::ACTED_ON_HEADER;
-use crate::stream;
+use socket::{SharedSocket, SocketIo};
+use surplus::Surplus;
 
 /// Largest body of a request or a response.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -104,65 +104,14 @@
     }
 }
 
-/// A server connection's socket, shared by hyper, which reads and writes on it, and the node, which checks it
-/// before the connection is reused.
-struct SharedSocket {
-    stream: TcpStream,
-    /// Bytes that the server may still send; 0 while no request is open, so that unsolicited data is an
-    /// error.
-    allowed_bytes: Cell<usize>,
-    /// Whether any byte arrived since the last request was sent.
-    has_received_bytes: Cell<bool>,
-}
-
-/// The socket in the form that hyper reads and writes.
-struct SocketIo(Rc<SharedSocket>);
-
-impl AsyncRead for SocketIo {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let socket = &self.0;
-        let count = ready!(stream::poll_read(&socket.stream, cx, buf, usize::MAX))?;
-        let remaining = socket.allowed_bytes.get().checked_sub(count);
-        let remaining = remaining
-            .ok_or_else(|| io::Error::other("the server sent more than the largest allowed response"))?;
-        socket.allowed_bytes.set(remaining);
-        socket.has_received_bytes.set(socket.has_received_bytes.get() || count > 0);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for SocketIo {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write(data))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        stream::poll_write(&self.0.stream, cx, |stream| stream.try_write_vectored(parts))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
-    }
-}
-
 /// A connection to a server; dropping it closes the socket.
 pub struct ServerConnection {
     sender: SendRequest<Full<Bytes>>,
     socket: Rc<SharedSocket>,
     /// The task in which hyper reads and writes the socket.
     _io_task: AbortOnDrop,
+    /// What that task had read beyond the end of the last response, once it has ended.
+    io_end: oneshot::Receiver<Bytes>,
     /// The server's epoch when the connection was opened; connections of an earlier epoch are not used.
     pub epoch: u64,
     /// When the connection last became idle.
@@ -178,6 +127,9 @@
     Unsent,
     /// The connection broke or the response was malformed; the server may have run the request.
     Broken,
+    /// The response was followed by bytes that begin no further response, so that its length may be too small; the
+    /// server may have run the request.
+    TooLong,
     /// A complete response.
     Response {
         status: StatusCode,
@@ -190,30 +142,38 @@
     },
 }
 
+impl ExchangeResult {
+    /// The same result of a connection that is not usable for another request.
+    fn without_reuse(mut self) -> Self {
+        if let ExchangeResult::Response { allows_reuse, .. } = &mut self {
+            *allows_reuse = false;
+        }
+        self
+    }
+}
+
 impl ServerConnection {
     /// Connects to a server. The permit is held until the socket is closed.
     pub async fn dial(addr: SocketAddr, epoch: u64, permit: SocketPermit) -> io::Result<ServerConnection> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let socket = Rc::new(SharedSocket {
-            stream,
-            allowed_bytes: Cell::new(0),
-            has_received_bytes: Cell::new(false),
-        });
-        let (sender, connection) = http1::Builder::new()
+        let socket = Rc::new(SharedSocket::new(stream, permit));
+        let (sender, mut connection) = http1::Builder::new()
             .max_headers(MAX_RESPONSE_HEADERS)
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .handshake(TokioIo::new(SocketIo(socket.clone())))
             .await
             .map_err(io::Error::other)?;
+        let (end_sender, io_end) = oneshot::channel();
         let io_task = AbortOnDrop::spawn(async move {
-            let _permit = permit;
-            let _ = connection.await;
+            let _ = (&mut connection).await;
+            let _ = end_sender.send(connection.into_parts().read_buf);
         });
         Ok(ServerConnection {
             sender,
             socket,
             _io_task: io_task,
+            io_end,
             epoch,
             idle_since: Instant::now(),
             idle_memory: None,
@@ -228,14 +188,12 @@
     /// Whether the connection is open and has no unread bytes. Peeks at the socket, because the runtime's
     /// view of its readiness may be older than a duplicate response that is already in the receive buffer.
     pub fn is_reusable(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.socket.stream).peek(&mut byte);
-        !self.is_closed() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        !self.is_closed() && self.socket.is_open_and_empty()
     }
 
     /// Whether any byte arrived since the last request was sent.
     pub fn has_received_bytes(&self) -> bool {
-        self.socket.has_received_bytes.get()
+        self.socket.has_received_bytes()
     }
 
     /// Waits until the connection can take a request.
@@ -249,8 +207,7 @@
         request: Request<Full<Bytes>>,
         memory: &MemoryShare,
     ) -> ExchangeResult {
-        self.socket.allowed_bytes.set(MAX_RESPONSE_BYTES);
-        self.socket.has_received_bytes.set(false);
+        self.socket.begin_response(MAX_RESPONSE_BYTES);
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             // hyper returns the request with the error only if no byte of it was written.
@@ -258,8 +215,20 @@
             Err(_) => return ExchangeResult::Broken,
         };
         let result = read_response(response, memory).await;
-        self.socket.allowed_bytes.set(0);
-        result.unwrap_or(ExchangeResult::Broken)
+        self.socket.end_response();
+        let Some(result) = result else { return ExchangeResult::Broken };
+        match self.read_surplus() {
+            Surplus::Nothing => result,
+            Surplus::Response => result.without_reuse(),
+            Surplus::Unexplained => ExchangeResult::TooLong,
+        }
+    }
+
+    /// What has arrived behind the end of a response: what hyper has read beyond it, which ended its task, and what is
+    /// still in the receive buffer.
+    fn read_surplus(&mut self) -> Surplus {
+        let read_by_hyper = self.io_end.try_recv().unwrap_or_default();
+        surplus::classify(&read_by_hyper, |buffer| self.socket.read_unread(buffer))
     }
 }
 
--- a/tests/node/responses.rs
+++ b/tests/node/responses.rs
@@ -72,3 +72,50 @@
     }
     assert!(harness.take_requests().is_empty());
 }
+
+// An answer that is longer than its length must never be served without its end: that is no answer of any server. A
+// request that may run twice gets the whole answer of another server, one that must not fails.
+#[test]
+fn an_answer_that_is_longer_than_its_length_is_never_served_cut() {
+    let long =
+        |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{}", "x".repeat(60_000));
+    let spoilt = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\npaid 1,250,000".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\npaid".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\npaid 1".to_owned(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npaid\r\n0\r\n\r\n 1,250,000".to_owned(),
+        "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\npaid".to_owned(),
+        long(59_980),
+        long(8_000),
+    ];
+    for text in spoilt {
+        let text: &'static str = text.leak();
+        let head = text.lines().nth(1).unwrap();
+        let harness = Harness::new(2);
+        harness.set_behavior(Behavior::RespondRaw(text, 1));
+        let status = harness.send_request("pay", &fresh_id()).status();
+        assert!(![200, 429, 503].contains(&status), "{head}: {status}");
+        assert_eq!(harness.take_requests().len(), 1, "{head}");
+        *harness.behaviors[0].lock().unwrap() = Behavior::Serve;
+        for _ in 0..6 {
+            let id = fresh_id();
+            let response = harness.send_request("look", &id);
+            assert_eq!((response.status(), response.body), (200, id.into_bytes()), "{head}");
+        }
+    }
+}
+
+// A whole second copy behind an answer doesn't make the first one doubtful.
+#[test]
+fn an_answer_with_a_whole_copy_behind_it_is_served() {
+    const RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid";
+    for times in [2, 3] {
+        let harness = Harness::new(1);
+        harness.set_behavior(Behavior::RespondRaw(RESPONSE, times));
+        for _ in 0..4 {
+            let response = harness.send_request("pay", &fresh_id());
+            assert_eq!((response.status(), response.body.as_slice()), (200, b"paid".as_slice()));
+        }
+        assert_eq!(harness.take_requests().len(), 4);
+    }
+}
