--- a/tests/node/list.rs
+++ b/tests/node/list.rs
@@ -16,6 +16,13 @@
     });
 }
 
+/// The line with which discovery tells that the first server drains.
+fn drain_of_first_server(harness: &Harness, revision: u64) -> String {
+    let mut draining = harness.members[0].clone();
+    draining["phase"] = json!("terminating");
+    format!("{}\n", json!({"revision": revision, "complete": false, "members": [draining]}))
+}
+
 /// A complete list without the first server.
 fn list_without_first_server(harness: &Harness, revision: u64) -> Value {
     json!({"revision": revision, "complete": true, "members": harness.members[1..]})
@@ -135,3 +142,20 @@
     });
     wait_until_only_used(&harness, &[1]);
 }
+
+// A change that discovery has written whole counts as told. It must not wait for the end of the line behind it: on a watch that
+// then falls silent the end never comes.
+#[test]
+fn a_whole_change_does_not_wait_for_the_end_of_the_next_one() {
+    for mode in ["ask", "push"] {
+        let harness =
+            Harness::with_settings(3, json!({"sockets": 256}), |s| s["registry-mode"] = json!(mode));
+        let mut stream = harness.next_watch_from(41);
+        write_chunk(&mut stream, "\n");
+        let next = drain_of_first_server(&harness, 43);
+        write_chunk(&mut stream, &(drain_of_first_server(&harness, 42) + &next[..next.len() / 2]));
+        wait_until_only_used(&harness, &[1, 2]);
+        // It is acted on at once, not when the watch counts as silent.
+        assert!(harness.watches.try_iter().next().is_none(), "{mode}: the watch was given up");
+    }
+}
