Hear a registry that answers late

What was seen: an agent whose replicas take longer than 2.5 s for the answer to a call for a watch gets no line from any of them, so its nodes act on no change.

Each call was given up after the time for which an open watch may be silent, and the next replica was called in its place.

A call that fails is followed by the next one after the backoff, as before.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,6 +8,7 @@
 //! 3. A watch never goes back to an older revision: it resumes after the revision that it has, and skips a replica
 //!    that lags behind that revision ([`Watch`]).
 
+mod opening;
 mod retry_budget;
 mod watch;
 
--- a/crates/client/src/watch.rs
+++ b/crates/client/src/watch.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use tokio::time::{sleep, timeout};
 
+use crate::opening::OpeningCalls;
 use crate::{INITIAL_BACKOFF, MAX_BACKOFF};
 
 /// How long a replica may send nothing before the watch leaves it. A replica sends at least an empty line every 2 s.
@@ -24,6 +25,7 @@
     revision: Option<u64>,
     /// The response that is being read, with the bytes that were received and not yet returned as lines.
     open_response: Option<(reqwest::Response, BytesMut)>,
+    opening: OpeningCalls,
     backoff: Duration,
 }
 
@@ -40,6 +42,7 @@
             current: first,
             revision: from,
             open_response: None,
+            opening: OpeningCalls::default(),
             backoff: INITIAL_BACKOFF,
         }
     }
@@ -47,12 +50,19 @@
     /// Closes the connection and continues at the next replica. If `refetches_list` is set, the complete list is
     /// requested from it, otherwise the changes after the last line.
     pub fn switch_replica(&mut self, refetches_list: bool) {
-        (self.open_response, self.current) = (None, (self.current + 1) % self.endpoints.len());
+        self.open_response = None;
+        self.select_next_endpoint();
         if refetches_list {
             self.revision = None;
+            // They ask for changes only.
+            self.opening = OpeningCalls::default();
         }
     }
 
+    fn select_next_endpoint(&mut self) {
+        self.current = (self.current + 1) % self.endpoints.len();
+    }
+
     /// The address of the replica that is watched.
     pub fn endpoint(&self) -> SocketAddr {
         self.endpoints[self.current]
@@ -91,18 +101,7 @@
         let text = |error: reqwest::Error| error.to_string();
         let (mut response, mut buffer) = match self.open_response.take() {
             Some(open_response) => open_response,
-            None => {
-                let query = self.revision.map_or(String::new(), |revision| format!("?index={revision}"));
-                let url = format!("http://{}/v1/watch{query}", self.endpoint());
-                let response = timeout(SILENCE_TIMEOUT, self.http.get(url).send())
-                    .await
-                    .map_err(|_| "no response in time")?;
-                let response = response.map_err(text)?;
-                if !response.status().is_success() {
-                    return Err(format!("{}", response.status()));
-                }
-                (response, BytesMut::new())
-            }
+            None => (self.open().await?, BytesMut::new()),
         };
         loop {
             if let Some(end) = buffer.iter().position(|&byte| byte == b'\n') {
@@ -122,4 +121,23 @@
             buffer.extend_from_slice(&chunk.ok_or("the replica ended the response")?);
         }
     }
+
+    /// Opens the watch at the first replica that answers. A call without an answer stays open beside the call to the next
+    /// replica, because it may only be late. Returns an error when a call fails; the others stay open.
+    async fn open(&mut self) -> Result<reqwest::Response, String> {
+        loop {
+            let query = self.revision.map_or(String::new(), |revision| format!("?index={revision}"));
+            let request = self.http.get(format!("http://{}/v1/watch{query}", self.endpoint()));
+            self.opening.start(self.current, request);
+            match timeout(SILENCE_TIMEOUT, self.opening.next_ended()).await {
+                Ok((endpoint, Ok(response))) => {
+                    self.current = endpoint;
+                    self.opening = OpeningCalls::default();
+                    return Ok(response);
+                }
+                Ok((_, Err(reason))) => return Err(reason),
+                Err(_) => self.select_next_endpoint(),
+            }
+        }
+    }
 }
