Doubt a response that repeats the response to a probe of its connection

What callers could see: a late second copy of the response to a probe, 200 with an empty body, as the answer to the next request on that connection.

Cause: probes share connections with requests, and a repeat was doubted neither for an empty body nor for a body that several connections have brought, which all responses to probes are.

Change: responses to probes are kept with those of their connection, also empty ones, and don't make a body common.

Evidence: repeats::tests::a_response_that_repeats_that_of_a_probe_is_doubted failed before and passes now.

--- a/src/bin/woodgap/exchange/repeats.rs
+++ b/src/bin/woodgap/exchange/repeats.rs
@@ -43,7 +43,8 @@
     }
 }
 
-/// A response that a connection has brought.
+/// A response that a connection has brought. Of those with an empty body only the responses to probes are kept: others are
+/// alike for most requests.
 #[derive(Clone, Copy)]
 struct BroughtResponse {
     /// The hash of the client's id for its request.
@@ -112,8 +113,7 @@
         time_left: Duration,
     ) -> Option<Duration> {
         let class = request.class?;
-        // Empty bodies are all alike.
-        if body.is_empty() || responses.recent.is_empty() {
+        if responses.recent.is_empty() {
             return None;
         }
         let body = xxh3_64(body);
@@ -129,7 +129,8 @@
 
     /// Records a response that is used.
     pub fn record_use(&self, responses: &mut ConnectionResponses, request: &RequestKey, body: &[u8]) {
-        if body.is_empty() {
+        let is_probe = request.class.is_none();
+        if body.is_empty() && !is_probe {
             return;
         }
         let body = xxh3_64(body);
@@ -137,6 +138,10 @@
             responses.recent.pop_front();
         }
         responses.recent.push_back(BroughtResponse { request: request.id, body });
+        if is_probe {
+            // All connections bring the same ones. That makes them no common responses to requests.
+            return;
+        }
         let mut seen = self.seen.borrow_mut();
         let slot = &mut seen[slot_of(body)];
         match slot.connection {
--- a/src/bin/woodgap/exchange/repeats/tests.rs
+++ b/src/bin/woodgap/exchange/repeats/tests.rs
@@ -70,3 +70,18 @@
     assert_eq!(detector.doubt(&responses, &request("x"), b"receipt 0", LEFT), None);
     assert!(detector.doubt(&responses, &request("x"), b"receipt 1", LEFT).is_some());
 }
+
+// A second copy of the response to a probe must not be taken for the response to a request, though all probes are answered
+// alike.
+#[test]
+fn a_response_that_repeats_that_of_a_probe_is_doubted() {
+    let probe = RequestKey::new(None, b"");
+    for body in [&b""[..], b"healthy"] {
+        let detector = RepeatDetector::default();
+        let [mut first, mut second] = [detector.open_connection(), detector.open_connection()];
+        detector.record_use(&mut first, &probe, body);
+        detector.record_use(&mut second, &probe, body);
+        assert_eq!(detector.doubt(&first, &request("1"), body, LEFT), Some(MIN_WAIT));
+        assert_eq!(detector.doubt(&first, &probe, body, LEFT), None);
+    }
+}
