Take the wait behind earlier requests of a connection off a request's time

Cause: requests of a connection are served one after the other, and the time of each began when the one before it was answered, however long its bytes had waited.

Change: the connection keeps since when the oldest bytes wait that may belong to a request which has not begun, and takes that wait off the request's time; without time it is refused at once. Where requests end in hyper's buffer is not known, so one that came behind older waiting bytes is charged too much, never too little.

--- a/src/bin/woodgap/client_connection.rs
+++ b/src/bin/woodgap/client_connection.rs
@@ -11,15 +11,13 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::BytesMut;
 use framing::Framing;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
@@ -28,9 +26,11 @@
 use crate::memory::{
     MemoryPermit, MemoryShare, LONG_HEAD_BYTES, UNRESERVED_BODY_BYTES, UNRESERVED_HEAD_BYTES,
 };
-use crate::stream;
 
 mod framing;
+mod socket;
+
+pub use socket::ClientSocket;
 
 /// Longest time in which a request must arrive completely, from the connect for the first request and from
 /// its first byte for a later one. Clients that send nothing or very slowly hold a socket that other clients
@@ -42,7 +42,7 @@
 const EVICTABLE_IDLE: Duration = Duration::from_secs(2);
 /// When memory is short, a connection whose client has not read anything of its response for this long may be closed.
 const MAX_WRITE_STALL: Duration = Duration::from_millis(500);
-/// Shorter waits of a new connection are not counted: the time of a request is given in whole milliseconds.
+/// Shorter waits are not counted: the time of a request is given in whole milliseconds.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Most bytes that are kept of what arrives behind an open request. Clients normally send one request at a time.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
@@ -111,6 +111,10 @@
     pub close_requested: Notify,
     /// How long the request may have waited, complete, before it was read.
     unread_wait: Cell<Duration>,
+    /// How long the request has waited behind earlier ones of the connection.
+    queue_wait: Cell<Duration>,
+    /// When the oldest of the bytes arrived that may belong to a request which has not begun.
+    queued_since: Cell<Instant>,
     /// When the first request must have arrived completely.
     first_request_deadline: Instant,
     /// The open request has arrived completely: bytes that arrive now are not part of it.
@@ -166,6 +170,8 @@
             requests: Cell::new(0),
             close_requested: Notify::new(),
             unread_wait: Cell::new(Duration::ZERO),
+            queue_wait: Cell::new(Duration::ZERO),
+            queued_since: Cell::new(now),
             first_request_deadline: now + first_request_timeout,
             is_request_complete: Cell::new(false),
             request_completed: Notify::new(),
@@ -186,6 +192,7 @@
         if phase == Phase::Idle {
             self.framing.borrow_mut().finish_request();
             self.unread_wait.set(Duration::ZERO);
+            self.queue_wait.set(Duration::ZERO);
             self.body_memory.set(BodyMemory::Unreserved);
             self.arrival_memory.borrow_mut().head_permit = None;
         }
@@ -213,9 +220,9 @@
         self.unread_wait.set(self.unread_wait.get() + wait);
     }
 
-    /// How long the open request may have waited before it was read.
+    /// How long the open request may have waited before it was read, and behind earlier requests of its connection.
     pub fn take_wait(&self) -> Duration {
-        self.unread_wait.take()
+        self.unread_wait.take() + self.queue_wait.take()
     }
 
     /// Notes that the open request has arrived completely.
@@ -238,6 +245,8 @@
         self.framing.borrow_mut().parse_head();
         self.is_refusal_requested.set(false);
         self.enter_phase(Phase::RequestOpen);
+        let queue_wait = self.queued_since.get().elapsed();
+        self.queue_wait.set(if queue_wait < MIN_WAIT { Duration::ZERO } else { queue_wait });
         self.requests.set(self.requests.get().saturating_add(1));
         body_deadline
     }
@@ -411,6 +420,10 @@
     /// Keeps bytes that arrived behind the open request, or notes that they were discarded.
     fn keep_read_ahead(&self, bytes: &[u8]) {
         let mut read_ahead = self.read_ahead.borrow_mut();
+        // Where it is not known that nothing came with the open request, the time of its own bytes stands.
+        if read_ahead.is_empty() && self.framing.borrow().has_only_one_request() {
+            self.queued_since.set(Instant::now());
+        }
         let mut memory = self.arrival_memory.borrow_mut();
         let kept = read_ahead.len() + bytes.len();
         if kept > UNRESERVED_BODY_BYTES && memory.read_ahead_permit.is_none() {
@@ -505,78 +518,5 @@
     }
 }
 
-/// The connection's socket in the form that hyper reads and writes. Reads take the read-ahead buffer first,
-/// record the bytes for `Framing` and notice the first byte of a request on an idle connection. Once the connection
-/// closes at once, nothing more is read: a request that is read then could be sent on but not answered.
-pub struct ClientSocket(Rc<ClientConnection>);
-
-impl ClientSocket {
-    /// The socket of a connection.
-    pub fn new(connection: Rc<ClientConnection>) -> Self {
-        ClientSocket(connection)
-    }
-}
-
-impl AsyncRead for ClientSocket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let connection = &self.0;
-        if connection.closes_at_once() {
-            // `request_close` has woken the connection's task, which ends without another read.
-            return Poll::Pending;
-        }
-        let max_bytes = ready!(connection.poll_head_room(cx));
-        let filled_before = buf.filled().len();
-        let mut read_ahead = connection.read_ahead.borrow_mut();
-        let count = if read_ahead.is_empty() {
-            ready!(stream::poll_read(&connection.stream, cx, buf, max_bytes))?
-        } else {
-            let count = read_ahead.len().min(buf.remaining()).min(max_bytes);
-            buf.put_slice(&read_ahead[..count]);
-            read_ahead.advance(count);
-            if read_ahead.is_empty() {
-                *read_ahead = BytesMut::new();
-                connection.arrival_memory.borrow_mut().read_ahead_permit = None;
-            }
-            count
-        };
-        connection.framing.borrow_mut().record_bytes(&buf.filled()[filled_before..]);
-        if count > 0 {
-            connection.last_byte_at.set(Instant::now());
-            if connection.phase.get() == Phase::Idle {
-                connection.enter_phase(Phase::ReadingHead);
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for ClientSocket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = stream::poll_write(&self.0.stream, cx, |stream| stream.try_write(data));
-        self.0.record_write(written)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = stream::poll_write(&self.0.stream, cx, |stream| stream.try_write_vectored(parts));
-        self.0.record_write(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/bin/woodgap/client_connection/framing.rs
+++ b/src/bin/woodgap/client_connection/framing.rs
@@ -46,6 +46,11 @@
         self.received > 0
     }
 
+    /// Whether exactly the bytes of the open request are known to have been handed to hyper.
+    pub fn has_only_one_request(&self) -> bool {
+        self.is_start_known && self.request_bytes == Some(self.received)
+    }
+
     /// Records bytes that were handed to hyper.
     pub fn record_bytes(&mut self, bytes: &[u8]) {
         self.received += bytes.len();
@@ -88,7 +93,7 @@
     /// Starts over after a response. The next request begins with the next byte if exactly the answered
     /// request had arrived.
     pub fn finish_request(&mut self) {
-        let is_start_known = self.is_start_known && self.request_bytes == Some(self.received);
+        let is_start_known = self.has_only_one_request();
         *self = Framing { is_start_known, ..Framing::default() };
     }
 }
--- a/tests/node/responses.rs
+++ b/tests/node/responses.rs
@@ -51,6 +51,44 @@
     assert!(remaining_ms <= 60_000 - 400, "{remaining_ms}");
 }
 
+// Requests that come at once on a connection are served one after the other. The time for which one waits behind another is
+// taken off its own: the server must not be told a time that its client has not.
+#[test]
+fn the_wait_behind_another_request_is_taken_off_the_time_of_a_request() {
+    const WAIT_MS: u64 = 400;
+    /// What the time that a server is told may exceed the time left by.
+    const SLACK_MS: u64 = 150;
+    for is_written_at_once in [true, false] {
+        let harness = Harness::new(1);
+        harness.set_behavior(Behavior::Hold);
+        let mut client = harness.connect();
+        let ids: Vec<String> = (0..3).map(|_| fresh_id()).collect();
+        let [first, second, third] = [0, 1, 2].map(|n| request_bytes("look", &ids[n], 60_000));
+        client
+            .write_all(&[first, if is_written_at_once { second.clone() } else { Vec::new() }].concat())
+            .unwrap();
+        let Ok(ServerEvent::Request(..)) = harness.server_events.recv_timeout(TEST_TIMEOUT) else {
+            panic!("no request")
+        };
+        client.write_all(&[if is_written_at_once { Vec::new() } else { second }, third].concat()).unwrap();
+        // A longer sleep only lowers the time left.
+        std::thread::sleep(Duration::from_millis(WAIT_MS));
+        harness.set_behavior(Behavior::Serve);
+        let mut client = BufReader::new(client);
+        for id in &ids {
+            assert_eq!(Message::read(&mut client).expect("a response").body, id.as_bytes());
+        }
+        for (_, message) in harness.take_requests() {
+            let told_ms: u64 = message.header("x-remaining-ms").parse().unwrap();
+            assert!(
+                told_ms <= 60_000 - WAIT_MS + SLACK_MS,
+                "{} was told {told_ms} ms",
+                message.header("x-txn")
+            );
+        }
+    }
+}
+
 // A request that no server has seen gets a 503, which allows the client to retry, and not a failure.
 #[test]
 fn a_request_that_reached_no_server_is_refused() {
