Tell the watches of a list that a member has moved to another one

Cause: the put was recorded as one change, of the member as it is now. A watch is sent changes of its own role and pool, so the watches of the old pool got a new revision and no entry.

Change: a put that changes the role or the pool is recorded as two changes of one revision, the removal of the member as it was and the member as it is.

--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -257,7 +257,13 @@
             }
         } else {
             let registration = Registration { member: member.clone(), revision: index, lease_ms, renewed_at };
-            self.members.insert(member.id.clone(), registration);
+            let previous = self.members.insert(member.id.clone(), registration);
+            // Watches of the list that the member leaves are sent its removal.
+            let has_moved =
+                |previous: &Member| (previous.role, &previous.pool) != (member.role, &member.pool);
+            if let Some(previous) = previous.map(|registration| registration.member).filter(has_moved) {
+                self.record_change(index, previous, true);
+            }
             self.record_change(index, member.clone(), false);
         }
         if member.role == Role::Node {
