Leave the phase of a registered member to the registry

Cause: at its start an agent put its members in the form of its file, whose phase is in_service, without a condition.

Change: an agent puts a member only if the registry lacks it. Otherwise it reads the member's phase and puts the rest of its data with that phase, on the condition of the revision that it read. Registering is a module of its own with typed errors.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod config;
 mod list;
 mod list_cache;
+mod registration;
 mod reports;
 mod service;
 
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -7,13 +7,14 @@
 
 use bytes::Bytes;
 use client::Client;
-use registry::{Command, Expect, Member, Role};
+use registry::{Command, Member, Role};
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::config::Config;
 use crate::list::{LineEffect, ServerList};
 use crate::list_cache;
+use crate::registration::{register, Registration, RegistrationError};
 use crate::reports::{NodeReport, ReportBuffer, ServerReport};
 
 /// How long a watch of the node may be silent before it is sent an empty line. A node expects a line every 2 s.
@@ -322,7 +323,7 @@
     }
 
     /// Registers the members that are new or have changed, and renews the leases of the others. A renewal leaves the
-    /// registered data as it is, so that an operator's change to it, such as a drain, stays in force.
+    /// registered data as it is, and a registration leaves the phase as it is, so that an operator's drain stays in force.
     fn renew_members(&mut self) {
         (self.is_renewing, self.last_renewal_at) = (true, Some(Instant::now()));
         let (client, loop_tx) = (self.client.clone(), self.loop_tx.clone());
@@ -342,20 +343,18 @@
                     Vec::new()
                 }
             };
-            let puts = unconfirmed.into_iter().map(|member| (member, Expect::Any));
-            for (member, expect) in
-                puts.chain(maybe_absent.into_iter().map(|member| (member, Expect::Absent)))
-            {
-                let put = Command::Put { member: member.clone(), lease_ms, expect };
-                match client.propose("", put, RENEWAL_TIMEOUT).await {
-                    Ok(registry::Outcome::Refused { reason }) => {
+            let changed = unconfirmed.into_iter().map(|member| (member, Registration::Update));
+            let lost = maybe_absent.into_iter().map(|member| (member, Registration::IfAbsent));
+            for (member, registration) in changed.chain(lost) {
+                match register(&client, &member, lease_ms, registration).await {
+                    Ok(()) => confirmed.push(member),
+                    Err(RegistrationError::Refused(reason)) => {
                         tracing::warn!(
                             member = member.id,
                             why = reason,
                             "the registry refused to register the member"
                         )
                     }
-                    Ok(_) => confirmed.push(member),
                     Err(error) => {
                         tracing::debug!(member = member.id, %error, "could not register the member; will retry")
                     }
--- a/crates/rig/tests/record.rs
+++ b/crates/rig/tests/record.rs
@@ -201,3 +201,39 @@
         })
     });
 }
+
+/// The registered phase of a member; `None` if it is not registered.
+async fn registered_phase(site: &Site, id: &str) -> anyhow::Result<Option<Value>> {
+    let members = site.client.get("/v1/members").await?;
+    let mut entries = members.as_array().into_iter().flatten();
+    Ok(entries.find(|entry| entry["member"]["id"] == id).map(|entry| entry["member"]["phase"].clone()))
+}
+
+// An agent that comes back registers its server again. An operator's drain, which the registry has acknowledged, must stay in
+// force, whatever phase the agent's file names.
+#[test]
+fn an_agent_that_comes_back_does_not_undo_a_drain() {
+    /// Longer than the lease of the agent's server: it is registered after that only if the agent has renewed it.
+    const WATCHED_FOR: Duration = Duration::from_secs(9);
+    run_test(|| async {
+        let config = SiteConfig { nodes: 0, servers: 1, requests_per_s: 1.0, ..SiteConfig::default() };
+        let mut site = Site::start(config, seed()).await?;
+        let drain = json!({"set_phase": {"id": "s-0", "phase": "terminating"}});
+        let request = Client::generate_request_id();
+        site.client.propose(&request, serde_json::from_value(drain)?, Duration::from_secs(10)).await?;
+        let mut machine = site.server_machines.remove(0);
+        machine.agent = None;
+        site.start_agent("s-0", &mut machine).await?;
+        let start = std::time::Instant::now();
+        while start.elapsed() < WATCHED_FOR {
+            let phase = registered_phase(&site, "s-0").await?;
+            ensure!(
+                phase == Some(json!("terminating")),
+                "the registered phase is {phase:?}\n{}",
+                site.logs()
+            );
+            sleep(Duration::from_millis(100)).await;
+        }
+        Ok(())
+    });
+}
